--- /dev/null
+++ b/src/coordination/peer_message.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/object_event.h"
+#include "state/time_ms.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lacewing {
+
+/// @brief Identity of a process: who sends, where it listens for peers, and which start of it this is.
+struct peer_id {
+    vm_name vm;
+    zone_name zone;
+    /// ip:port of the peer port.
+    std::string address;
+    incarnation_id incarnation;
+
+    auto operator<=>(const peer_id&) const = default;
+};
+
+enum class member_state : std::uint8_t { alive, suspect, leaving, dead };
+
+/// @brief What one VM knows of another.
+struct member_record {
+    peer_id id;
+    /// ip:port of the caller port, as it is given to callers.
+    std::string caller_address;
+    member_state state = member_state::alive;
+    /// Version of the record; only the VM itself raises it to refute a suspicion.
+    std::uint64_t counter = 0;
+    /// Highest replica revision that the VM has reported.
+    revision_id revision;
+};
+
+/// @brief Evidence about the freshness of the sender's key list, valid at the moment of sending.
+struct freshness_report {
+    /// Time since the store request on which the sender's newest confirmation rests.
+    time_ms age;
+    /// The sender's own store calls fail, or it has heard within the freshness bound from no VM that reaches
+    /// the store.
+    bool store_unreachable = false;
+};
+
+/// @brief Fields common to probes and their answers.
+struct probe_payload {
+    std::uint64_t sequence = 0;
+    revision_id revision;
+    freshness_report freshness;
+    std::vector<member_record> updates;
+};
+
+struct ping {
+    probe_payload probe;
+};
+
+struct ack {
+    probe_payload probe;
+};
+
+/// @brief Asks the receiver to probe a third VM on behalf of the sender.
+struct ping_request {
+    std::uint64_t sequence = 0;
+    peer_id target;
+};
+
+/// @brief New object events, passed on through the tree of a zone.
+struct object_events {
+    /// All events up to this revision are contained or were sent earlier.
+    revision_id after;
+    revision_id revision;
+    std::vector<object_event> events;
+    /// Remaining levels of the fan-out tree.
+    std::uint32_t hops_left = 0;
+};
+
+/// @brief Asks for the events after the revision that the sender holds.
+struct object_pull {
+    revision_id after;
+};
+
+/// @brief Complete replica of a peer, sent when the event log does not reach back far enough.
+struct object_snapshot {
+    revision_id revision;
+    std::vector<object_event> objects;
+};
+
+/// @brief Amount of a rate budget: refill rate, bucket capacity and tokens, in millionths of a request.
+struct budget_amount {
+    /// Micro-tokens per millisecond, that is thousandths of a request per second.
+    std::int64_t rate = 0;
+    std::int64_t capacity = 0;
+    std::int64_t tokens = 0;
+};
+
+/// @brief Asks a home for a loan from its share.
+struct loan_request {
+    std::string budget;
+    std::uint64_t sequence = 0;
+    budget_amount wanted;
+};
+
+/// @brief A loan; the lender has subtracted it from its own share before sending.
+struct loan_grant {
+    std::string budget;
+    /// Sequence of the request that this answers; the loan runs from the time that request was sent.
+    std::uint64_t sequence = 0;
+    /// Identifies the loan at the lender.
+    std::uint64_t loan = 0;
+    budget_amount amount;
+    time_ms duration;
+};
+
+/// @brief Gives a loan back before its expiry.
+struct loan_return {
+    std::string budget;
+    std::uint64_t loan = 0;
+    std::int64_t tokens = 0;
+};
+
+/// @brief Asks the VM to which a request id is bound what became of the id.
+struct once_query {
+    std::uint64_t sequence = 0;
+    std::string request_id;
+};
+
+enum class once_outcome : std::uint8_t { never_seen_now_refused, running, ran, not_run, unknown };
+
+struct once_reply {
+    std::uint64_t sequence = 0;
+    once_outcome outcome = once_outcome::unknown;
+};
+
+using peer_payload = std::variant<ping, ack, ping_request, object_events, object_pull, object_snapshot,
+                                  loan_request, loan_grant, loan_return, once_query, once_reply>;
+
+/// @brief A message between two processes.
+struct peer_message {
+    peer_id from;
+    /// Incarnation that the sender means; a receiver of another incarnation drops the message. 0 means any.
+    incarnation_id to;
+    peer_payload payload;
+};
+
+/// @brief Output of a decision: send this payload to that peer.
+struct send_action {
+    peer_id to;
+    peer_payload payload;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/state/ids.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace lacewing {
+
+/// @brief Name of one kind of thing; names of different kinds do not mix.
+template <class Tag>
+struct named_id {
+    std::string value;
+
+    auto operator<=>(const named_id&) const = default;
+    [[nodiscard]] bool empty() const { return value.empty(); }
+};
+
+using vm_name = named_id<struct vm_tag>;
+using zone_name = named_id<struct zone_tag>;
+using region_name = named_id<struct region_tag>;
+using route_name = named_id<struct route_tag>;
+using plan_name = named_id<struct plan_tag>;
+using account_name = named_id<struct account_tag>;
+using endpoint_name = named_id<struct endpoint_tag>;
+using class_name = named_id<struct class_tag>;
+
+/// @brief Random number drawn at each process start; distinguishes a restarted process from its predecessor.
+struct incarnation_id {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const incarnation_id&) const = default;
+};
+
+/// @brief Revision of the platform's store; the one total order of all stored objects.
+struct revision_id {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const revision_id&) const = default;
+};
+
+/// @brief Formats an incarnation as 16 hexadecimal digits.
+std::string to_hex(incarnation_id id);
+
+/// @brief Parses 16 hexadecimal digits.
+/// @throws error with error_kind::bad_request when the text has another form.
+incarnation_id incarnation_from_hex(std::string_view text);
+
+/// @brief Rendezvous weight of a member for a key: the member with the highest weight owns the key.
+/// @return 64-bit hash, equal on all hosts.
+std::uint64_t rendezvous_weight(std::string_view key, incarnation_id member);
+
+} // namespace lacewing
+
+template <class Tag>
+struct std::hash<lacewing::named_id<Tag>> {
+    std::size_t operator()(const lacewing::named_id<Tag>& id) const noexcept {
+        return std::hash<std::string>{}(id.value);
+    }
+};
+
+template <>
+struct std::hash<lacewing::incarnation_id> {
+    std::size_t operator()(lacewing::incarnation_id id) const noexcept { return id.value; }
+};
--- /dev/null
+++ b/src/state/time_ms.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace lacewing {
+
+/// @brief Point in time or span of time in milliseconds; the only clock type of the project.
+/// Points count from the boot of the host, so they are comparable only within one host.
+struct time_ms {
+    std::int64_t count = 0;
+
+    constexpr auto operator<=>(const time_ms&) const = default;
+    constexpr time_ms& operator+=(time_ms other) {
+        count += other.count;
+        return *this;
+    }
+    constexpr time_ms& operator-=(time_ms other) {
+        count -= other.count;
+        return *this;
+    }
+};
+
+constexpr time_ms operator+(time_ms a, time_ms b) {
+    return {a.count + b.count};
+}
+constexpr time_ms operator-(time_ms a, time_ms b) {
+    return {a.count - b.count};
+}
+constexpr time_ms operator*(time_ms a, std::int64_t n) {
+    return {a.count * n};
+}
+constexpr time_ms operator/(time_ms a, std::int64_t n) {
+    return {a.count / n};
+}
+
+namespace literals {
+
+constexpr time_ms operator""_ms(unsigned long long n) {
+    return {static_cast<std::int64_t>(n)};
+}
+constexpr time_ms operator""_s(unsigned long long n) {
+    return {static_cast<std::int64_t>(n) * 1000};
+}
+
+} // namespace literals
+
+} // namespace lacewing
--- /dev/null
+++ b/src/transport/monotonic_clock.cpp
@@ -0,0 +1,17 @@
+#include "transport/monotonic_clock.h"
+
+#include <ctime>
+
+namespace lacewing {
+
+time_ms monotonic_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return {static_cast<std::int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000};
+}
+
+std::int64_t unix_seconds_now() {
+    return static_cast<std::int64_t>(std::time(nullptr));
+}
+
+} // namespace lacewing
