--- /dev/null
+++ b/src/transport/endpoint_pool.cpp
@@ -0,0 +1,86 @@
+#include "transport/endpoint_pool.h"
+
+#include "state/error_kind.h"
+#include "transport/ip_address.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Endpoints commonly close idle connections after 5 s or more; a shorter limit here makes it rare that both
+// sides act at the same moment.
+constexpr time_ms idle_limit{3000};
+constexpr std::size_t max_idle_per_endpoint = 32;
+
+// An idle connection that is readable was closed, or carries bytes of an answer that nobody waits for.
+bool is_quiet(endpoint_connection& connection) {
+    auto& socket = connection.stream.socket();
+    boost::system::error_code failure;
+    socket.non_blocking(true, failure);
+    if (failure) return false;
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+} // namespace
+
+std::unique_ptr<endpoint_connection> endpoint_pool::take_idle(std::string_view address, time_ms now) {
+    const auto found = idle_.find(std::string(address));
+    if (found == idle_.end()) return nullptr;
+    auto& waiting = found->second;
+    while (!waiting.empty()) {
+        auto connection = std::move(waiting.back());
+        waiting.pop_back();
+        if (now - connection->idle_since < idle_limit && is_quiet(*connection)) return connection;
+    }
+    return nullptr;
+}
+
+asio::awaitable<std::unique_ptr<endpoint_connection>> endpoint_pool::connect(std::string address,
+                                                                             time_ms timeout) {
+    auto connection = std::make_unique<endpoint_connection>(executor_);
+    connection->address = std::move(address);
+    const auto target = parse_ip_address(connection->address);
+    connection->stream.expires_after(std::chrono::milliseconds(timeout.count));
+    boost::system::error_code failure;
+    co_await connection->stream.async_connect(target, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        throw error(error_kind::endpoint_refused,
+                    fmt::format("connect to endpoint {}: {}", connection->address, failure.message()));
+    }
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
+    co_return connection;
+}
+
+void endpoint_pool::put_idle(std::unique_ptr<endpoint_connection> connection, time_ms now) {
+    if (connection->buffer.size() != 0) return;
+    auto& waiting = idle_[connection->address];
+    if (waiting.size() >= max_idle_per_endpoint) return;
+    connection->stream.expires_never();
+    connection->idle_since = now;
+    waiting.push_back(std::move(connection));
+}
+
+void endpoint_pool::close_expired(time_ms now) {
+    for (auto& [address, waiting] : idle_) {
+        std::erase_if(waiting,
+                      [now](const auto& connection) { return now - connection->idle_since >= idle_limit; });
+    }
+    std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::size_t endpoint_pool::idle_count() const {
+    std::size_t count = 0;
+    for (const auto& [address, waiting] : idle_)
+        count += waiting.size();
+    return count;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/transport/relay.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+
+namespace lacewing {
+
+/// @brief Which side ended a relayed body.
+enum class relay_result : std::uint8_t { complete, source_failed, sink_failed };
+
+/// @brief Copies the rest of a body from one connection to another in pieces, so that memory stays bounded
+/// and a slow receiver slows the sender down.
+/// @param source Connection that is read.
+/// @param buffer Bytes of the source that were read and not parsed.
+/// @param parser Parser whose header is complete.
+/// @param sink Connection that is written.
+/// @param serializer Serializer over a buffer_body message whose header has been written.
+/// @param scratch Memory for one piece.
+/// @param idle_limit Longest time without progress on either side.
+template <bool IsRequest>
+boost::asio::awaitable<relay_result>
+relay_body(boost::beast::tcp_stream& source, boost::beast::flat_buffer& buffer,
+           boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body>& parser,
+           boost::beast::tcp_stream& sink,
+           boost::beast::http::serializer<IsRequest, boost::beast::http::buffer_body>& serializer,
+           boost::beast::http::message<IsRequest, boost::beast::http::buffer_body>& outgoing,
+           std::span<char> scratch, std::chrono::milliseconds idle_limit) {
+    namespace asio = boost::asio;
+    namespace http = boost::beast::http;
+    while (!parser.is_done()) {
+        auto& incoming = parser.get().body();
+        incoming.data = scratch.data();
+        incoming.size = scratch.size();
+        boost::system::error_code failure;
+        source.expires_after(idle_limit);
+        co_await http::async_read(source, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure && failure != http::error::need_buffer) co_return relay_result::source_failed;
+
+        outgoing.body().data = scratch.data();
+        outgoing.body().size = scratch.size() - incoming.size;
+        outgoing.body().more = !parser.is_done();
+        failure = {};
+        sink.expires_after(idle_limit);
+        co_await http::async_write(sink, serializer, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure && failure != http::error::need_buffer) co_return relay_result::sink_failed;
+    }
+    co_return relay_result::complete;
+}
+
+/// @brief Reads body bytes into a piece of memory until the piece is full or the body ends.
+/// @param idle_limit Longest time without progress.
+/// @return Number of bytes read; parser.is_done() tells whether the body is complete.
+/// @throws boost::system::system_error when the connection fails.
+template <bool IsRequest>
+boost::asio::awaitable<std::size_t>
+read_piece(boost::beast::tcp_stream& source, boost::beast::flat_buffer& buffer,
+           boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body>& parser,
+           std::span<char> piece, std::chrono::milliseconds idle_limit) {
+    namespace asio = boost::asio;
+    namespace http = boost::beast::http;
+    std::size_t filled = 0;
+    while (!parser.is_done() && filled < piece.size()) {
+        auto& body = parser.get().body();
+        body.data = piece.data() + filled;
+        body.size = piece.size() - filled;
+        boost::system::error_code failure;
+        source.expires_after(idle_limit);
+        co_await http::async_read(source, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure && failure != http::error::need_buffer) throw boost::system::system_error(failure);
+        filled = piece.size() - body.size;
+    }
+    co_return filled;
+}
+
+} // namespace lacewing
