--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,139 @@
+#include "http_test_support.h"
+
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+
+namespace lacewing {
+namespace {
+
+namespace asio = boost::asio;
+using testing::raw_exchange;
+using testing::run_until_done;
+using testing::wait_until;
+
+asio::awaitable<http_response> echo(http_request request) {
+    co_return make_response(200, std::string(request.target()) + "|" + request.body(), "text/plain");
+}
+
+// Status line of the answer to raw bytes under small limits.
+std::string status_line(std::string bytes) {
+    asio::io_context loop;
+    http_limits limits;
+    limits.body_bytes = 1000;
+    limits.header_timeout = time_ms{60};
+    limits.body_timeout = time_ms{60};
+    http_server server(loop.get_executor(), "127.0.0.1:0", limits, echo);
+    std::string answer;
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        answer = co_await raw_exchange(loop, server.address(), bytes);
+    });
+    return answer.substr(0, answer.find('\r'));
+}
+
+} // namespace
+
+// Guards against a pool that opens a connection per request or mixes up answers.
+TEST_CASE("http client reuses its connection and receives its own answers") {
+    asio::io_context loop;
+    http_server server(loop.get_executor(), "127.0.0.1:0", {}, echo);
+    http_client client(loop.get_executor(), server.address());
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 50; ++i) {
+            const auto target = "/t" + std::to_string(i);
+            const auto answer = co_await client.request("PUT", target, {}, "body", time_ms{5000});
+            CHECK(answer.result_int() == 200);
+            CHECK(answer.body() == target + "|body");
+        }
+    });
+    CHECK(server.connections() == 1);
+}
+
+// Guards against input that is served, or holds a connection open without an answer, beyond the limits.
+TEST_CASE("http server answers malformed, oversized and slow input with a 4xx") {
+    CHECK(status_line("NOT HTTP AT ALL\r\n\r\n") == "HTTP/1.1 400 Bad Request");
+    CHECK(status_line("GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n") ==
+          "HTTP/1.1 431 Request Header Fields Too Large");
+    CHECK(status_line("PUT / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x')) ==
+          "HTTP/1.1 413 Payload Too Large");
+    CHECK(status_line("GET / HTTP/1.1\r\nA: ") == "HTTP/1.1 408 Request Timeout");
+    CHECK(status_line("PUT / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc") == "HTTP/1.1 408 Request Timeout");
+    CHECK(status_line("").empty());
+}
+
+// Guards against a stop that aborts a request in flight or never ends because of idle connections.
+TEST_CASE("http server finishes requests in flight before it stops") {
+    asio::io_context loop;
+    bool started = false;
+    bool release = false;
+    http_server server(loop.get_executor(), "127.0.0.1:0", {},
+                       [&](http_request request) -> asio::awaitable<http_response> {
+                           started = true;
+                           if (request.target() == "/slow")
+                               co_await wait_until(loop, [&] { return release; });
+                           co_return make_response(200, "finished");
+                       });
+    const auto address = server.address();
+    http_client idle(loop.get_executor(), address);
+    http_client busy(loop.get_executor(), address);
+    std::string body;
+    bool stopped = false;
+    run_until_done(loop, [&]() -> asio::awaitable<void> {
+        co_await idle.request("GET", "/", {}, "", time_ms{5000});
+        started = false;
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void> {
+                const auto answer = co_await busy.request("GET", "/slow", {}, "", time_ms{15000});
+                body = answer.body();
+            },
+            [](const std::exception_ptr&) {});
+        co_await wait_until(loop, [&] { return started; });
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void> {
+                co_await server.stop();
+                stopped = true;
+            },
+            [](const std::exception_ptr&) {});
+        co_await wait_until(loop, [&] { return server.connections() == 1; });
+        CHECK_FALSE(stopped);
+        release = true;
+        co_await wait_until(loop, [&] { return stopped && !body.empty(); });
+    });
+    CHECK(body == "finished");
+}
+
+// Guards against errors that callers cannot tell apart: whether the request can have had an effect depends on
+// it.
+TEST_CASE("http client names the failure") {
+    asio::io_context loop;
+    auto server = std::make_unique<http_server>(loop.get_executor(), "127.0.0.1:0", http_limits{},
+                                                [&](http_request request) -> asio::awaitable<http_response> {
+                                                    if (request.target() == "/drop") throw drop_connection();
+                                                    co_await wait_until(loop, [] { return false; });
+                                                    co_return make_response(200, "");
+                                                });
+    http_client client(loop.get_executor(), server->address());
+    const auto failure_of = [&](const char* target, time_ms timeout) {
+        std::optional<http_failure> failure;
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            try {
+                co_await client.request("PUT", target, {}, "", timeout);
+            } catch (const http_error& problem) {
+                failure = problem.failure();
+            }
+        });
+        return failure;
+    };
+    CHECK(failure_of("/drop", time_ms{5000}) == http_failure::closed);
+    CHECK(failure_of("/never", time_ms{30}) == http_failure::timed_out);
+    server.reset();
+    CHECK(failure_of("/", time_ms{5000}) == http_failure::connect_failed);
+}
+
+} // namespace lacewing
