--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -3,7 +3,7 @@
 #include "state/ids.h"
 
 #include <cstdint>
-#include <map>
+#include <span>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -106,7 +106,7 @@
 };
 
 /// @brief Largest configuration text: the limit of one value of the platform's store.
-inline constexpr std::size_t max_config_bytes = 1024 * 1024;
+inline constexpr std::size_t max_config_bytes = 1'048'576;
 
 /// @brief Parses and validates a complete configuration.
 /// @param text YAML, or JSON as it is held in the store.
@@ -119,6 +119,16 @@
 /// @throws config_error as parse_configuration, after the merge.
 configuration merge_configuration(const configuration& base, std::string_view text, std::string_view file);
 
+/// @brief One text of a configuration and the name used in errors.
+struct config_text {
+    std::string file;
+    std::string text;
+};
+
+/// @brief Merges several texts over a base and validates the result once, so their order does not matter.
+/// @throws config_error as parse_configuration; also when two texts hold the same section.
+configuration merge_configuration(const configuration& base, std::span<const config_text> texts);
+
 /// @brief JSON text of a configuration; parse_configuration reads it back.
 std::string to_json(const configuration& config);
 
