Add the codec for peer messages

Cause: processes exchange one-way messages (design, 5.3) and must drop what they cannot understand. Change: one list of fields per structure serves encoding and decoding; libjsonrpccpp's protocol handler checks method and parameters. Freshness messages carry zone reports and the maker's clock, trees carry a range of positions, and joins get member_pull and member_table. Tried mutations: none yet beyond the malformed texts of the test.

--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -36,13 +36,27 @@
     revision_id revision;
 };
 
-/// @brief Evidence about the freshness of the sender's key list, valid at the moment of sending.
-struct freshness_report {
-    /// Time since the store request on which the sender's newest confirmation rests.
+/// @brief What a watcher of a zone says about the zone's access to the store.
+struct zone_report {
+    zone_name zone;
+    /// Time since the watcher made the report.
     time_ms age;
-    /// The sender's own store calls fail, or it has heard within the freshness bound from no VM that reaches
-    /// the store.
-    bool store_unreachable = false;
+    /// Age of the newest confirmation known to the watcher when it made the report; negative when there is
+    /// none.
+    time_ms confirmation_age{-1};
+    bool store_reachable = false;
+};
+
+/// @brief Evidence about the freshness of the sender's key list. All ages are valid at `clock`.
+struct freshness_report {
+    /// Reading of the maker's own clock. A receiver maps it to its own clock by an earlier ping and ack, so
+    /// the delay of this message cannot make the evidence look younger.
+    time_ms clock;
+    /// Store revision that the confirmation covers.
+    revision_id confirmed_revision;
+    /// Time since the store request on which the newest confirmation rests; negative when there is none.
+    time_ms age{-1};
+    std::vector<zone_report> zones;
 };
 
 /// @brief Fields common to probes and their answers.
@@ -65,6 +79,17 @@
 struct ping_request {
     std::uint64_t sequence = 0;
     peer_id target;
+    std::vector<member_record> updates;
+};
+
+/// @brief Asks for the complete membership table, sent by a process that joins.
+struct member_pull {
+    member_record self;
+};
+
+/// @brief Membership table, or a part of it.
+struct member_table {
+    std::vector<member_record> members;
 };
 
 /// @brief New object events, passed on through the tree of a zone.
@@ -73,8 +98,13 @@
     revision_id after;
     revision_id revision;
     std::vector<object_event> events;
-    /// Remaining levels of the fan-out tree.
-    std::uint32_t hops_left = 0;
+    /// Watcher at the root of the tree; its clock is that of the freshness report.
+    peer_id origin;
+    /// Positions in the origin's tree order that the receiver passes the message on to, both included.
+    /// Begin greater than end: to nobody.
+    std::uint64_t range_begin = 1;
+    std::uint64_t range_end = 0;
+    freshness_report freshness;
 };
 
 /// @brief Asks for the events after the revision that the sender holds.
@@ -82,9 +112,12 @@
     revision_id after;
 };
 
-/// @brief Complete replica of a peer, sent when the event log does not reach back far enough.
+/// @brief Replica of a peer, sent in parts when the event log does not reach back far enough.
 struct object_snapshot {
     revision_id revision;
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    /// Live objects and tombstones.
     std::vector<object_event> objects;
 };
 
@@ -134,8 +167,9 @@
     once_outcome outcome = once_outcome::unknown;
 };
 
-using peer_payload = std::variant<ping, ack, ping_request, object_events, object_pull, object_snapshot,
-                                  loan_request, loan_grant, loan_return, once_query, once_reply>;
+using peer_payload =
+    std::variant<ping, ack, ping_request, member_pull, member_table, object_events, object_pull,
+                 object_snapshot, loan_request, loan_grant, loan_return, once_query, once_reply>;
 
 /// @brief A message between two processes.
 struct peer_message {
--- /dev/null
+++ b/src/protocol/peer_codec.cpp
@@ -0,0 +1,388 @@
+#include "protocol/peer_codec.h"
+
+#include "protocol/jsonrpc_builder.h"
+#include "state/error_kind.h"
+
+#include <array>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+#include <limits>
+#include <optional>
+#include <type_traits>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr std::array state_names{"alive", "suspect", "leaving", "dead"};
+constexpr std::array outcome_names{"never_seen_now_refused", "running", "ran", "not_run", "unknown"};
+
+// Method names in the order of the alternatives of peer_payload (design, 5.3).
+constexpr std::array<const char*, std::variant_size_v<peer_payload>> method_names{
+    "ping",     "ack",          "ping_req",   "member_pull", "member_table", "events",    "pull",
+    "snapshot", "loan_request", "loan_grant", "loan_return", "once_query",   "once_reply"};
+
+// One list of fields per structure serves encoding and decoding.
+template <class Archive>
+void fields(Archive& a, peer_id& v) {
+    a("vm", v.vm.value);
+    a("zone", v.zone.value);
+    a("address", v.address);
+    a("incarnation", v.incarnation);
+}
+
+template <class Archive>
+void fields(Archive& a, member_record& v) {
+    a("id", v.id);
+    a("caller_address", v.caller_address);
+    a("state", v.state);
+    a("counter", v.counter);
+    a("revision", v.revision.value);
+}
+
+template <class Archive>
+void fields(Archive& a, zone_report& v) {
+    a("zone", v.zone.value);
+    a("age", v.age.count);
+    a("confirmation_age", v.confirmation_age.count);
+    a("reachable", v.store_reachable);
+}
+
+template <class Archive>
+void fields(Archive& a, freshness_report& v) {
+    a("clock", v.clock.count);
+    a("confirmed", v.confirmed_revision.value);
+    a("age", v.age.count);
+    a("zones", v.zones);
+}
+
+template <class Archive>
+void fields(Archive& a, probe_payload& v) {
+    a("sequence", v.sequence);
+    a("revision", v.revision.value);
+    a("freshness", v.freshness);
+    a("updates", v.updates);
+}
+
+template <class Archive>
+void fields(Archive& a, ping& v) {
+    a("probe", v.probe);
+}
+
+template <class Archive>
+void fields(Archive& a, ack& v) {
+    a("probe", v.probe);
+}
+
+template <class Archive>
+void fields(Archive& a, ping_request& v) {
+    a("sequence", v.sequence);
+    a("target", v.target);
+    a("updates", v.updates);
+}
+
+template <class Archive>
+void fields(Archive& a, member_pull& v) {
+    a("self", v.self);
+}
+
+template <class Archive>
+void fields(Archive& a, member_table& v) {
+    a("members", v.members);
+}
+
+template <class Archive>
+void fields(Archive& a, object_event& v) {
+    a("key", v.key);
+    a("revision", v.revision.value);
+    a("value", v.value);
+}
+
+template <class Archive>
+void fields(Archive& a, object_events& v) {
+    a("after", v.after.value);
+    a("revision", v.revision.value);
+    a("events", v.events);
+    a("origin", v.origin);
+    a("range_begin", v.range_begin);
+    a("range_end", v.range_end);
+    a("freshness", v.freshness);
+}
+
+template <class Archive>
+void fields(Archive& a, object_pull& v) {
+    a("after", v.after.value);
+}
+
+template <class Archive>
+void fields(Archive& a, object_snapshot& v) {
+    a("revision", v.revision.value);
+    a("part", v.part);
+    a("parts", v.parts);
+    a("objects", v.objects);
+}
+
+template <class Archive>
+void fields(Archive& a, budget_amount& v) {
+    a("rate", v.rate);
+    a("capacity", v.capacity);
+    a("tokens", v.tokens);
+}
+
+template <class Archive>
+void fields(Archive& a, loan_request& v) {
+    a("budget", v.budget);
+    a("sequence", v.sequence);
+    a("wanted", v.wanted);
+}
+
+template <class Archive>
+void fields(Archive& a, loan_grant& v) {
+    a("budget", v.budget);
+    a("sequence", v.sequence);
+    a("loan", v.loan);
+    a("amount", v.amount);
+    a("duration", v.duration.count);
+}
+
+template <class Archive>
+void fields(Archive& a, loan_return& v) {
+    a("budget", v.budget);
+    a("loan", v.loan);
+    a("tokens", v.tokens);
+}
+
+template <class Archive>
+void fields(Archive& a, once_query& v) {
+    a("sequence", v.sequence);
+    a("request_id", v.request_id);
+}
+
+template <class Archive>
+void fields(Archive& a, once_reply& v) {
+    a("sequence", v.sequence);
+    a("outcome", v.outcome);
+}
+
+class writer {
+public:
+    template <class T>
+    void operator()(const char* name, T& value) {
+        json_[name] = to_json(value);
+    }
+    Json::Value take() { return std::move(json_); }
+
+private:
+    static Json::Value to_json(bool& v) { return v; }
+    static Json::Value to_json(std::string& v) { return v; }
+    static Json::Value to_json(incarnation_id& v) { return to_hex(v); }
+    static Json::Value to_json(member_state& v) { return state_names.at(static_cast<std::size_t>(v)); }
+    static Json::Value to_json(once_outcome& v) { return outcome_names.at(static_cast<std::size_t>(v)); }
+    static Json::Value to_json(std::shared_ptr<const std::string>& v) {
+        return v ? Json::Value(*v) : Json::Value(Json::nullValue);
+    }
+    template <class T>
+    static Json::Value to_json(std::vector<T>& values) {
+        Json::Value array(Json::arrayValue);
+        for (auto& v : values) {
+            array.append(to_json(v));
+        }
+        return array;
+    }
+    template <class T>
+    static Json::Value to_json(T& v) {
+        if constexpr (std::is_integral_v<T>) {
+            if constexpr (std::is_signed_v<T>) {
+                return Json::Value(static_cast<Json::Int64>(v));
+            } else {
+                return Json::Value(static_cast<Json::UInt64>(v));
+            }
+        } else {
+            writer nested;
+            fields(nested, v);
+            return nested.take();
+        }
+    }
+
+    Json::Value json_{Json::objectValue};
+};
+
+[[noreturn]] void reject(const std::string& reason) {
+    throw error(error_kind::bad_request, "peer message: " + reason);
+}
+
+class reader {
+public:
+    reader(const Json::Value& json, std::string path) : json_(json), path_(std::move(path)) {
+        if (!json_.isObject()) {
+            reject(path_ + " is not an object");
+        }
+    }
+    template <class T>
+    void operator()(const char* name, T& value) {
+        const auto path = path_ + "." + name;
+        if (!json_.isMember(name)) {
+            reject("missing field " + path);
+        }
+        parse(json_[name], path, value);
+    }
+
+private:
+    static void require(bool valid, const std::string& path, const char* type) {
+        if (!valid) {
+            reject("field " + path + " is not " + type);
+        }
+    }
+    static void parse(const Json::Value& json, const std::string& path, bool& v) {
+        require(json.isBool(), path, "a boolean");
+        v = json.asBool();
+    }
+    static void parse(const Json::Value& json, const std::string& path, std::string& v) {
+        require(json.isString(), path, "a string");
+        v = json.asString();
+    }
+    static void parse(const Json::Value& json, const std::string& path, incarnation_id& v) {
+        require(json.isString(), path, "an incarnation");
+        v = incarnation_from_hex(json.asString());
+    }
+    template <class Enumeration, std::size_t Size>
+    static void parse_name(const Json::Value& json, const std::string& path,
+                           const std::array<const char*, Size>& names, Enumeration& v) {
+        require(json.isString(), path, "a string");
+        const auto text = json.asString();
+        for (std::size_t i = 0; i < Size; ++i) {
+            if (text == names.at(i)) {
+                v = static_cast<Enumeration>(i);
+                return;
+            }
+        }
+        reject("field " + path + " has no known value");
+    }
+    static void parse(const Json::Value& json, const std::string& path, member_state& v) {
+        parse_name(json, path, state_names, v);
+    }
+    static void parse(const Json::Value& json, const std::string& path, once_outcome& v) {
+        parse_name(json, path, outcome_names, v);
+    }
+    static void parse(const Json::Value& json, const std::string& path,
+                      std::shared_ptr<const std::string>& v) {
+        require(json.isString() || json.isNull(), path, "a string or null");
+        v = json.isNull() ? nullptr : std::make_shared<const std::string>(json.asString());
+    }
+    template <class T>
+    static void parse(const Json::Value& json, const std::string& path, std::vector<T>& values) {
+        require(json.isArray(), path, "an array");
+        values.clear();
+        values.reserve(json.size());
+        for (const auto& item : json) {
+            parse(item, path + "[]", values.emplace_back());
+        }
+    }
+    template <class T>
+    static void parse(const Json::Value& json, const std::string& path, T& v) {
+        if constexpr (std::is_integral_v<T>) {
+            // jsoncpp takes 1.0 for an integer; a peer never writes one.
+            const bool integer = json.type() == Json::intValue || json.type() == Json::uintValue;
+            if constexpr (std::is_signed_v<T>) {
+                require(integer && json.isInt64(), path, "a signed integer");
+                v = json.asInt64();
+            } else {
+                require(integer && json.isUInt64() && json.asUInt64() <= std::numeric_limits<T>::max(), path,
+                        "an unsigned integer");
+                v = static_cast<T>(json.asUInt64());
+            }
+        } else {
+            reader nested(json, path);
+            fields(nested, v);
+        }
+    }
+
+    const Json::Value& json_;
+    std::string path_;
+};
+
+// Makes the payload alternative whose method has the given name and fills it from the body.
+template <std::size_t Index = 0>
+peer_payload read_payload(const std::string& method, const Json::Value& body) {
+    if constexpr (Index == std::variant_size_v<peer_payload>) {
+        reject("unknown method " + method);
+    } else {
+        if (method != method_names.at(Index)) {
+            return read_payload<Index + 1>(method, body);
+        }
+        std::variant_alternative_t<Index, peer_payload> payload;
+        reader body_reader(body, "body");
+        fields(body_reader, payload);
+        return payload;
+    }
+}
+
+} // namespace
+
+struct peer_decoder::implementation : jsonrpc::IProcedureInvokationHandler {
+    implementation()
+        : handler(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this)) {
+        for (const auto* method : method_names) {
+            jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME, nullptr);
+            procedure.AddParameter("from", jsonrpc::JSON_OBJECT);
+            procedure.AddParameter("to", jsonrpc::JSON_STRING);
+            procedure.AddParameter("body", jsonrpc::JSON_OBJECT);
+            handler->AddProcedure(procedure);
+        }
+    }
+
+    void HandleMethodCall(jsonrpc::Procedure& /*procedure*/, const Json::Value& /*input*/,
+                          Json::Value& /*output*/) override {
+        reject("a call is not a notification");
+    }
+
+    void HandleNotificationCall(jsonrpc::Procedure& procedure, const Json::Value& input) override {
+        if (message) {
+            reject("more than one notification in a frame");
+        }
+        peer_message decoded;
+        reader params(input, "params");
+        params("from", decoded.from);
+        params("to", decoded.to);
+        decoded.payload = read_payload(procedure.GetProcedureName(), input["body"]);
+        message = std::move(decoded);
+    }
+
+    std::unique_ptr<jsonrpc::IProtocolHandler> handler;
+    std::optional<peer_message> message;
+};
+
+peer_decoder::peer_decoder() : implementation_(std::make_unique<implementation>()) {}
+peer_decoder::~peer_decoder() = default;
+peer_decoder::peer_decoder(peer_decoder&&) noexcept = default;
+peer_decoder& peer_decoder::operator=(peer_decoder&&) noexcept = default;
+
+std::string encode_peer_message(const peer_message& message) {
+    auto copy = message;
+    writer params;
+    params("from", copy.from);
+    params("to", copy.to);
+    std::visit([&](auto& payload) { params("body", payload); }, copy.payload);
+    return build_notification(method_names.at(message.payload.index()), params.take());
+}
+
+peer_message peer_decoder::decode(std::string_view text) {
+    implementation_->message.reset();
+    std::string response;
+    try {
+        implementation_->handler->HandleRequest(std::string(text), response);
+    } catch (const error&) {
+        throw;
+    } catch (const std::exception& failure) {
+        reject(failure.what());
+    }
+    if (!implementation_->message) {
+        reject("rejected by the protocol handler: " + response);
+    }
+    auto decoded = std::move(*implementation_->message);
+    implementation_->message.reset();
+    return decoded;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/tests/peer_codec_test.cpp
@@ -0,0 +1,85 @@
+#include "protocol/peer_codec.h"
+#include "state/error_kind.h"
+
+#include <doctest/doctest.h>
+
+using namespace lacewing;
+
+namespace {
+
+const peer_id sender{{"vm1"}, {"bagmati-a"}, "127.0.0.2:7000", {0xfedc'ba98'7654'3210}};
+
+std::vector<peer_payload> one_of_each_kind() {
+    const member_record record{sender, "127.0.0.2:8000", member_state::suspect, 7, {12}};
+    const freshness_report freshness{{99}, {11}, {5}, {{{"koshi-a"}, {3}, {4}, true}}};
+    const probe_payload probe{~std::uint64_t{0}, {12}, freshness, {record}};
+    const std::vector<object_event> events{
+        {"keys/a", {11}, std::make_shared<const std::string>("{\"a\":\"\\u00e9\n\"}")},
+        {"keys/b", {12}, nullptr}};
+    return {ping{probe},
+            ack{probe},
+            ping_request{3, sender, {record}},
+            member_pull{record},
+            member_table{{record, record}},
+            object_events{{10}, {12}, events, sender, 0, ~std::uint64_t{0}, freshness},
+            object_pull{{10}},
+            object_snapshot{{12}, 1, 2, events},
+            loan_request{"rate/a", 5, {-1, 2, 3}},
+            loan_grant{"rate/a", 5, 6, {1, 2, 3}, {3000}},
+            loan_return{"rate/a", 6, 1},
+            once_query{8, "0123-x"},
+            once_reply{8, once_outcome::not_run}};
+}
+
+void replace(std::string& text, const std::string& from, const std::string& to) {
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("a field lost or altered between encoding and decoding a peer message") {
+    peer_decoder decoder;
+    const auto payloads = one_of_each_kind();
+    REQUIRE(payloads.size() == std::variant_size_v<peer_payload>);
+    for (const auto& payload : payloads) {
+        const auto text = encode_peer_message({sender, {9}, payload});
+        const auto decoded = decoder.decode(text);
+        CHECK(decoded.from == sender);
+        CHECK(decoded.payload.index() == payload.index());
+        CHECK(encode_peer_message(decoded) == text);
+    }
+    const auto decoded =
+        std::get<object_events>(decoder.decode(encode_peer_message({sender, {9}, payloads[5]})).payload);
+    CHECK(decoded.events[1].deleted());
+    CHECK(*decoded.events[0].value == *std::get<object_events>(payloads[5]).events[0].value);
+}
+
+TEST_CASE("a malformed peer message is dropped with a text that names the fault") {
+    peer_decoder decoder;
+    const auto good = encode_peer_message({sender, {9}, object_pull{{10}}});
+    const auto rejected = [&](const std::string& from, const std::string& to, const std::string& reason) {
+        auto text = good;
+        replace(text, from, to);
+        CAPTURE(text);
+        try {
+            decoder.decode(text);
+            FAIL("accepted");
+        } catch (const error& failure) {
+            CHECK(failure.kind() == error_kind::bad_request);
+            CHECK_MESSAGE(std::string(failure.what()).find(reason) != std::string::npos, failure.what());
+        }
+    };
+    rejected("\"after\"", "\"before\"", "missing field body.after");
+    rejected("\"after\":10", "\"after\":\"10\"", "body.after");
+    rejected("\"after\":10", "\"after\":-1", "body.after");
+    rejected("\"after\":10", "\"after\":1.0", "body.after");
+    rejected("\"pull\"", "\"push\"", "-32601");
+    rejected("\"vm\"", "\"v\"", "params.from.vm");
+    rejected("\"params\"", "\"id\":1,\"params\"", "rejected by the protocol handler");
+    rejected("{", "", "rejected by the protocol handler");
+    CHECK_THROWS_AS(decoder.decode("[" + good + "," + good + "]"), error);
+    CHECK_THROWS_AS(decoder.decode(std::string(100'000, '[')), error);
+    CHECK_NOTHROW(decoder.decode(good));
+}
