--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -1,6 +1,7 @@
 #include "coordination/budget_manager.h"
 
 #include <algorithm>
+#include <utility>
 #include <deque>
 
 #include <fmt/format.h>
