--- /dev/null
+++ b/src/protocol/url.cpp
@@ -0,0 +1,85 @@
+#include "protocol/url.h"
+
+#include "state/error_kind.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace lacewing {
+
+namespace {
+
+std::string percent_decode(std::string_view text) {
+    std::string decoded;
+    decoded.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            decoded.push_back(text[i]);
+            continue;
+        }
+        unsigned byte = 0;
+        const auto digits = text.substr(i + 1, 2);
+        const auto* end = digits.data() + digits.size();
+        const auto parsed = std::from_chars(digits.data(), end, byte, 16);
+        if (digits.size() != 2 || parsed.ptr != end || parsed.ec != std::errc{}) {
+            throw error(error_kind::bad_request, "incomplete percent sequence in the target");
+        }
+        decoded.push_back(static_cast<char>(byte));
+        i += 2;
+    }
+    return decoded;
+}
+
+bool is_unreserved(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '.' || c == '_' || c == '~' || c == '/';
+}
+
+} // namespace
+
+std::string_view url_target::parameter(std::string_view name, std::string_view otherwise) const {
+    const auto found = query.find(name);
+    return found == query.end() ? otherwise : std::string_view(found->second);
+}
+
+url_target parse_target(std::string_view target) {
+    url_target parsed;
+    const auto mark = target.find('?');
+    parsed.path = percent_decode(target.substr(0, mark));
+    if (mark == std::string_view::npos) return parsed;
+    auto rest = target.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const auto pair = rest.substr(0, end);
+        const auto equals = pair.find('=');
+        const auto value = equals == std::string_view::npos ? std::string_view() : pair.substr(equals + 1);
+        parsed.query[percent_decode(pair.substr(0, equals))] = percent_decode(value);
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return parsed;
+}
+
+std::string percent_encode(std::string_view text) {
+    std::string encoded;
+    encoded.reserve(text.size());
+    for (const char c : text) {
+        if (is_unreserved(c))
+            encoded.push_back(c);
+        else
+            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+    }
+    return encoded;
+}
+
+std::uint64_t parse_number(std::string_view text, std::string_view field) {
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+        throw error(error_kind::bad_request, fmt::format("{}: '{}' is not a number", field, text));
+    }
+    return number;
+}
+
+} // namespace lacewing
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -40,7 +40,7 @@
 
 struct http_client_options {
     std::size_t idle_connections = 8;
-    std::uint64_t answer_bytes = 64 * 1024 * 1024;
+    std::uint64_t answer_bytes = std::uint64_t{64} * 1024 * 1024;
 };
 
 /// @brief HTTP/1.1 client of one address with a pool of kept-alive connections. Must be used on one thread at
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -36,6 +36,14 @@
     return asio::redirect_error(asio::use_awaitable, failure);
 }
 
+// Status for unusable input; 0 when the connection itself failed and no answer can be delivered.
+unsigned status_for(error_code failure) {
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow) return 431;
+    if (failure == http::error::body_limit) return 413;
+    const bool parser_error = failure.category() == http::make_error_code(http::error::bad_method).category();
+    return parser_error && failure != http::error::end_of_stream ? 400 : 0;
+}
+
 /// One accepted connection with the timer that bounds its current phase.
 struct connection : std::enable_shared_from_this<connection> {
     explicit connection(tcp::socket accepted) : socket(std::move(accepted)), timer(socket.get_executor()) {}
@@ -59,10 +67,11 @@
     void expire(bool writing) {
         expired = true;
         error_code ignored;
-        if (writing)
-            socket.close(ignored);
-        else
+        if (!writing) {
             socket.shutdown(tcp::socket::shutdown_receive, ignored);
+            return;
+        }
+        socket.close(ignored);
     }
 
     void close() {
@@ -172,14 +181,18 @@
     error_code failure;
     peer.limit(limits.header_timeout, false);
     co_await http::async_read_header(peer.socket, peer.buffer, parser, completion(failure));
-    if (failure) co_return co_await reject(peer, failure, false);
+    if (failure) {
+        co_return co_await reject(peer, failure, false);
+    }
     peer.limit(limits.body_timeout, false);
     if (!parser.is_done() && parser.get()[http::field::expect] == "100-continue") {
         http::response<http::empty_body> proceed(http::status::continue_, 11);
         co_await http::async_write(peer.socket, proceed, completion(failure));
     }
     co_await http::async_read(peer.socket, peer.buffer, parser, completion(failure));
-    if (failure) co_return co_await reject(peer, failure, true);
+    if (failure) {
+        co_return co_await reject(peer, failure, true);
+    }
     peer.unlimit();
 
     http_request request = parser.release();
@@ -205,16 +218,8 @@
 // Answers unusable input with a 4xx. Returns false: the position in the stream is unknown afterwards.
 asio::awaitable<bool> http_server::shared_state::reject(connection& peer, error_code failure, bool in_body) {
     const bool expired = peer.expired;
-    unsigned status = 400;
-    if (expired)
-        status = 408;
-    else if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
-        status = 431;
-    else if (failure == http::error::body_limit)
-        status = 413;
-    else if (failure == http::error::end_of_stream ||
-             failure.category() != http::make_error_code(http::error::bad_method).category())
-        co_return false;
+    const unsigned status = expired ? 408 : status_for(failure);
+    if (status == 0) co_return false;
     const auto* reason = in_body ? "the request body is unusable: " : "the request header is unusable: ";
     auto answer = make_response(status, reason + (expired ? "timed out" : failure.message()), "text/plain");
     answer.keep_alive(false);
@@ -259,8 +264,8 @@
     return answer;
 }
 
-http_server::http_server(asio::any_io_executor executor, std::string_view listen, const http_limits& limits,
-                         handler on_request)
+http_server::http_server(const asio::any_io_executor& executor, std::string_view listen,
+                         const http_limits& limits, handler on_request)
     : state_(std::make_shared<shared_state>(executor, limits, std::move(on_request))) {
     state_->listen(parse_ip_address(listen));
     asio::co_spawn(executor, state_->accept_all(), asio::detached);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -28,7 +28,7 @@
 /// @brief Bounds on the input of one connection.
 struct http_limits {
     std::uint32_t header_bytes = 16 * 1024;
-    std::uint64_t body_bytes = 2 * 1024 * 1024;
+    std::uint64_t body_bytes = std::uint64_t{2} * 1024 * 1024;
     /// From the first byte of a request, or from the accept, to the end of its header.
     time_ms header_timeout{5000};
     time_ms body_timeout{30000};
@@ -51,12 +51,14 @@
     /// @brief Binds and starts to accept.
     /// @param listen "ip:port"; port 0 chooses a free port.
     /// @throws std::invalid_argument for a malformed address, boost::system::system_error when binding fails.
-    http_server(boost::asio::any_io_executor executor, std::string_view listen, const http_limits& limits,
-                handler on_request);
+    http_server(const boost::asio::any_io_executor& executor, std::string_view listen,
+                const http_limits& limits, handler on_request);
     /// Closes the listening socket and all connections.
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
 
     /// @brief The bound "ip:port".
     [[nodiscard]] std::string address() const;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -73,8 +73,9 @@
     http_server server(loop.get_executor(), "127.0.0.1:0", {},
                        [&](http_request request) -> asio::awaitable<http_response> {
                            started = true;
-                           if (request.target() == "/slow")
+                           if (request.target() == "/slow") {
                                co_await wait_until(loop, [&] { return release; });
+                           }
                            co_return make_response(200, "finished");
                        });
     const auto address = server.address();
