--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -65,6 +67,18 @@
     return "accepted";
 }
 
+config_text shipped(const std::string& name) {
+    std::ifstream in(std::string(LACEWING_SOURCE_DIR) + "/config/" + name);
+    REQUIRE(in.good());
+    return {name, {std::istreambuf_iterator<char>(in), {}}};
+}
+
+configuration shipped_configuration(const std::string& folder, const std::string& topology) {
+    const std::vector<config_text> texts{shipped(topology), shipped(folder + "/plans.yaml"),
+                                         shipped(folder + "/accounts.yaml")};
+    return merge_configuration({}, texts);
+}
+
 } // namespace
 
 TEST_CASE("configuration: a valid text is read with units and defaults") {
@@ -223,3 +237,24 @@
     CHECK(settings_rejection(settings_text("seeds: [here]\n")) ==
           "vm.yaml:7: seeds: 'here' is not an address ip:port");
 }
+
+// Guards against shipped examples that the parser rejects or that miss the figures of the design page.
+TEST_CASE("shipped examples are valid and have the designed size") {
+    const auto utility = shipped_configuration("utility", "utility/topology.yaml");
+    CHECK(utility.zones.size() == 6);
+    CHECK(utility.links.size() == 6);
+    CHECK(utility.accounts.size() == 8);
+    REQUIRE(utility.routes.size() == 4);
+    CHECK(utility.find_route("balance")->endpoints.size() == 20);
+    CHECK(utility.find_route("payments")->once);
+    const auto gruber = shipped_configuration("gruber", "gruber/topology.yaml");
+    for (const auto& item : gruber.routes)
+        CHECK(item.endpoints.size() == 12);
+    CHECK(gruber.find_route("bookings")->once);
+    CHECK(gruber.accounts.size() == 8);
+    CHECK(shipped_configuration("utility", "utility/demo/topology.yaml").zones.size() == 2);
+    for (const auto* name : {"vm-1", "vm-2", "vm-3"}) {
+        const auto text = shipped(std::string("utility/demo/") + name + ".yaml");
+        CHECK(parse_settings(text.text, text.file).vm.value == name);
+    }
+}
