--- /dev/null
+++ b/src/coordination/budget_manager.cpp
@@ -0,0 +1,815 @@
+#include "coordination/budget_manager.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace lacewing {
+
+namespace {
+
+constexpr time_ms loan_duration{3000};
+
+// Half of the term is left when a loan is renewed, which allows three lost messages.
+constexpr time_ms renew_before{1500};
+constexpr time_ms renew_retry{400};
+
+// A lender answers within a round trip (110 ms between regions) plus the wait in its queue.
+constexpr time_ms answer_timeout{300};
+constexpr time_ms longest_backoff{2400};
+
+// A request that finds nothing to lend waits this long at the lender for a return.
+constexpr time_ms lender_queue_time{200};
+constexpr std::size_t lender_queue_length = 64;
+
+constexpr time_ms tick{50};
+
+// Messages of about 250 bytes: 64 per second are 16 KB/s of the 26 KB/s that a node may use for control.
+constexpr std::int64_t messages_per_s = 64;
+constexpr std::int64_t message_burst = 256;
+
+// New loans leave this part of the burst to returns, grants and renewals.
+constexpr std::int64_t request_reserve = message_burst / 4;
+
+// A borrower keeps capacity for the requests of this time, enough for a round trip between regions.
+constexpr std::int64_t buffer_ms = 200;
+
+// Beyond this many waiting requests a further one is refused at once.
+constexpr std::int64_t longest_queue = 1024;
+
+constexpr std::size_t most_loans_per_budget = 64;
+
+// A request older than this at a lender is not compared for duplicates any more; a loan for it would only
+// expire.
+constexpr time_ms duplicate_memory{10'000};
+
+constexpr std::int64_t fast_ms = 200;
+constexpr std::int64_t slow_ms = 2000;
+
+// Exponential decay over an interval, to first order and never below zero.
+std::int64_t decayed(std::int64_t value, std::int64_t elapsed, std::int64_t period) {
+    while (elapsed > 0 && value > 0) {
+        const std::int64_t step = std::min(elapsed, period / 4);
+        const std::int64_t loss = (value * step + period - 1) / period;
+        value -= std::min(value, loss);
+        elapsed -= step;
+    }
+    return value;
+}
+
+std::int64_t above_zero(std::int64_t value) {
+    return std::max<std::int64_t>(0, value);
+}
+
+// Spreads identifiers of different incarnations over 48 bits.
+std::uint64_t first_id(incarnation_id incarnation) {
+    return rendezvous_weight("loan", incarnation) >> 16U;
+}
+
+} // namespace
+
+void demand_estimate::record(time_ms now) {
+    decay(now);
+    fast_ += token / fast_ms;
+    slow_ += token / slow_ms;
+    last_arrival_ = now;
+}
+
+void demand_estimate::decay(time_ms now) {
+    // Steps of some milliseconds keep the loss by rounding small.
+    const std::int64_t elapsed = (now - decayed_).count;
+    if (elapsed < 5) {
+        return;
+    }
+    fast_ = decayed(fast_, elapsed, fast_ms);
+    slow_ = decayed(slow_, elapsed, slow_ms);
+    decayed_ = now;
+}
+
+std::int64_t demand_estimate::rate(time_ms now) const {
+    if (now >= idle_at()) {
+        return 0;
+    }
+    // The slow average is the less noisy one; the fast one decides after a change of the load.
+    if (fast_ > slow_ + slow_ / 2) {
+        return fast_;
+    }
+    const bool many_arrivals = slow_ * fast_ms >= 16 * token;
+    return many_arrivals && fast_ < slow_ / 2 ? fast_ : slow_;
+}
+
+time_ms demand_estimate::idle_at() const {
+    if (slow_ == 0) {
+        return last_arrival_;
+    }
+    // A gap of six mean intervals is improbable (1 in 400) while the arrivals go on.
+    return last_arrival_ + time_ms{50 + std::min<std::int64_t>(6 * token / slow_, 2 * slow_ms)};
+}
+
+struct budget_manager::given_loan {
+    peer_id borrower;
+    budget_amount amount;
+    time_ms expiry;
+};
+
+struct budget_manager::taken_loan {
+    std::uint64_t id = 0;
+    peer_id lender;
+    budget_amount amount;
+    time_ms expiry;
+    time_ms renewal_sent{-1'000'000};
+};
+
+struct budget_manager::pending_request {
+    std::uint64_t sequence = 0;
+    incarnation_id lender;
+    std::uint64_t renews = 0;
+    budget_amount wanted;
+    time_ms sent;
+};
+
+struct budget_manager::lender {
+    peer_id id;
+    time_ms ask_again;
+    time_ms backoff = answer_timeout;
+    /// Sequence of the request that is not answered yet, 0 for none.
+    std::uint64_t open = 0;
+};
+
+struct queued_request {
+    peer_id borrower;
+    loan_request request;
+    time_ms until;
+};
+
+struct last_request {
+    std::uint64_t sequence = 0;
+    time_ms seen;
+};
+
+struct budget_manager::budget_state {
+    std::string name;
+    token_bucket bucket;
+    demand_estimate demand;
+
+    bool home = false;
+    bool home_usable = false;
+    budget_amount home_amount;
+    time_ms lease_expiry;
+    time_ms usable_from;
+    /// Until this time loans may exceed the home share, because the share was reduced or given up.
+    time_ms excess_until;
+    std::map<std::uint64_t, given_loan> given;
+    budget_amount given_sum;
+    std::deque<queued_request> queue;
+    std::map<incarnation_id, last_request> last_requests;
+
+    std::vector<taken_loan> taken;
+    budget_amount taken_sum;
+    std::vector<pending_request> pending;
+    std::vector<lender> lenders;
+
+    std::int64_t waiting = 0;
+    time_ms next_event = never;
+    time_ms wake = never;
+    bool ready = false;
+
+    [[nodiscard]] budget_amount own_home() const {
+        if (!home || !home_usable) {
+            return {};
+        }
+        return {above_zero(home_amount.rate - given_sum.rate),
+                above_zero(home_amount.capacity - given_sum.capacity), 0};
+    }
+};
+
+budget_manager::budget_manager(peer_id self) : self_(std::move(self)), next_id_(first_id(self_.incarnation)) {
+    message_limit_.set_limits(messages_per_s * token / 1000, message_burst * token);
+    message_limit_.add(message_burst * token);
+}
+
+budget_manager::~budget_manager() = default;
+
+budget_manager::budget_state* budget_manager::find(std::string_view budget) {
+    const auto found = budgets_.find(budget);
+    return found == budgets_.end() ? nullptr : found->second.get();
+}
+
+budget_manager::budget_state& budget_manager::state_of(std::string_view budget) {
+    if (auto* found = find(budget)) {
+        return *found;
+    }
+    auto created = std::make_unique<budget_state>();
+    created->name = budget;
+    return *budgets_.emplace(created->name, std::move(created)).first->second;
+}
+
+// Sets the limits of the own bucket to the home share less the loans given, plus the loans taken.
+void budget_manager::apply_limits(budget_state& state) const {
+    const budget_amount own = state.own_home();
+    state.bucket.set_limits(own.rate + state.taken_sum.rate, own.capacity + state.taken_sum.capacity);
+    state.next_event = never;
+    if (state.home) {
+        state.next_event =
+            std::min(state.next_event, state.home_usable ? state.lease_expiry : state.usable_from);
+    }
+    for (const auto& [id, loan] : state.given) {
+        state.next_event = std::min(state.next_event, loan.expiry);
+    }
+    for (const auto& loan : state.taken) {
+        state.next_event = std::min(state.next_event, loan.expiry);
+    }
+    check(state);
+}
+
+// Applies all expiries up to now in the order of time, so that after a pause nothing is refilled at the rate
+// of an expired loan or lease.
+void budget_manager::settle(budget_state& state, time_ms now) {
+    while (state.next_event <= now) {
+        const time_ms at = state.next_event;
+        state.bucket.advance(at);
+        if (state.home && at >= state.lease_expiry) {
+            state.home = false;
+            state.home_usable = false;
+        } else if (state.home && at >= state.usable_from) {
+            state.home_usable = true;
+        }
+        std::erase_if(state.given, [&](const auto& entry) {
+            if (entry.second.expiry > at) {
+                return false;
+            }
+            state.given_sum.rate -= entry.second.amount.rate;
+            state.given_sum.capacity -= entry.second.amount.capacity;
+            return true;
+        });
+        std::erase_if(state.taken, [&](const taken_loan& loan) {
+            if (loan.expiry > at) {
+                return false;
+            }
+            state.taken_sum.rate -= loan.amount.rate;
+            state.taken_sum.capacity -= loan.amount.capacity;
+            return true;
+        });
+        apply_limits(state);
+    }
+    state.bucket.advance(now);
+}
+
+void budget_manager::check(const budget_state& state) {
+    const auto fail = [&](const char* reason) {
+        throw budget_invariant_error(fmt::format("budget '{}': {}", state.name, reason));
+    };
+    budget_amount given;
+    for (const auto& [id, loan] : state.given) {
+        given.rate += loan.amount.rate;
+        given.capacity += loan.amount.capacity;
+    }
+    budget_amount taken;
+    for (const auto& loan : state.taken) {
+        taken.rate += loan.amount.rate;
+        taken.capacity += loan.amount.capacity;
+    }
+    if (given.rate != state.given_sum.rate || given.capacity != state.given_sum.capacity ||
+        taken.rate != state.taken_sum.rate || taken.capacity != state.taken_sum.capacity) {
+        fail("the sums of loans differ from the loans");
+    }
+    const budget_amount home = state.home && state.home_usable ? state.home_amount : budget_amount{};
+    const bool excess = given.rate > home.rate || given.capacity > home.capacity;
+    if (excess && state.bucket.updated() >= state.excess_until) {
+        fail("loans given exceed the home share");
+    }
+    if (state.bucket.rate() + std::min(given.rate, home.rate) > home.rate + taken.rate) {
+        fail("rate exceeds the home share and the loans taken");
+    }
+    if (state.bucket.capacity() + std::min(given.capacity, home.capacity) > home.capacity + taken.capacity) {
+        fail("capacity exceeds the home share and the loans taken");
+    }
+    if (state.bucket.level() < 0 || state.bucket.level() > state.bucket.capacity()) {
+        fail("level outside the capacity");
+    }
+}
+
+void budget_manager::check() const {
+    for (const auto& [name, state] : budgets_) {
+        check(*state);
+    }
+}
+
+bool budget_manager::settled() const {
+    return std::all_of(budgets_.begin(), budgets_.end(), [](const auto& entry) {
+        const budget_state& state = *entry.second;
+        const budget_amount home = state.home ? state.home_amount : budget_amount{};
+        return state.given_sum.rate <= home.rate && state.given_sum.capacity <= home.capacity;
+    });
+}
+
+void budget_manager::set_home(time_ms now, std::string_view budget, budget_amount amount,
+                              time_ms lease_expiry, time_ms usable_from) {
+    if (amount.rate < 0 || amount.capacity < 0) {
+        throw std::invalid_argument("home share: negative rate or capacity");
+    }
+    auto& state = state_of(budget);
+    settle(state, now);
+    if (lease_expiry <= now || stopping_) {
+        drop_home(now, budget);
+        return;
+    }
+    const bool continues = state.home && state.home_usable;
+    // Loans given beyond a reduced share or beyond a shortened lease run out as excess.
+    const bool reduced = amount.rate < state.given_sum.rate || amount.capacity < state.given_sum.capacity;
+    for (const auto& [id, loan] : state.given) {
+        if (reduced || loan.expiry > lease_expiry) {
+            state.excess_until = std::max(state.excess_until, loan.expiry);
+        }
+    }
+    state.home = true;
+    state.home_usable = continues || usable_from <= now;
+    state.home_amount = {amount.rate, amount.capacity, 0};
+    state.lease_expiry = lease_expiry;
+    state.usable_from = usable_from;
+    apply_limits(state);
+    schedule(state, state.next_event);
+}
+
+time_ms budget_manager::drop_home(time_ms now, std::string_view budget) {
+    auto* state = find(budget);
+    if (state == nullptr) {
+        return now;
+    }
+    settle(*state, now);
+    time_ms clear = now;
+    for (const auto& [id, loan] : state->given) {
+        clear = std::max(clear, loan.expiry);
+    }
+    state->excess_until = std::max(state->excess_until, clear);
+    state->home = false;
+    state->home_usable = false;
+    state->queue.clear();
+    apply_limits(*state);
+    schedule(*state, state->next_event);
+    return clear;
+}
+
+void budget_manager::set_lenders(std::string_view budget, std::vector<peer_id> lenders) {
+    auto& state = state_of(budget);
+    std::vector<lender> updated;
+    for (auto& id : lenders) {
+        if (id.incarnation == self_.incarnation) {
+            continue;
+        }
+        const auto same = std::find_if(state.lenders.begin(), state.lenders.end(),
+                                       [&](const lender& known) { return known.id == id; });
+        if (same != state.lenders.end()) {
+            updated.push_back(*same);
+        } else {
+            updated.push_back({std::move(id), time_ms{}, answer_timeout, 0});
+        }
+    }
+    state.lenders = std::move(updated);
+}
+
+bool budget_manager::send(time_ms now, const peer_id& to, peer_payload payload, std::int64_t reserve) {
+    message_limit_.advance(now);
+    if (message_limit_.level() < (reserve + 1) * token || !message_limit_.take(token)) {
+        ++counters_.suppressed;
+        return false;
+    }
+    actions_.push_back({to, std::move(payload)});
+    return true;
+}
+
+admission budget_manager::try_admit(time_ms now, std::string_view budget, admission_try which) {
+    auto* state = find(budget);
+    if (state == nullptr || stopping_) {
+        return admission::refused;
+    }
+    settle(*state, now);
+    if (which == admission_try::first) {
+        state->demand.record(now);
+    }
+    if (state->bucket.take(token)) {
+        if (which != admission_try::first) {
+            --state->waiting;
+        }
+        // The tick asks for more before the bucket is empty.
+        if (state->wake > now + tick) {
+            schedule(*state, now + tick);
+        }
+        return admission::admitted;
+    }
+    if (which == admission_try::last) {
+        --state->waiting;
+        return admission::refused;
+    }
+    if (which == admission_try::first) {
+        if (state->waiting >= longest_queue) {
+            return admission::refused;
+        }
+        ++state->waiting;
+    }
+    drive(*state, now);
+    const bool loan_under_way =
+        std::any_of(state->pending.begin(), state->pending.end(), [&](const auto& request) {
+            return request.renews == 0 && request.sent + answer_timeout > now;
+        });
+    if (loan_under_way || state->bucket.time_of(token) < now + time_ms{150}) {
+        return admission::wait;
+    }
+    --state->waiting;
+    return admission::refused;
+}
+
+void budget_manager::on_message(time_ms now, const peer_id& from, const peer_payload& payload) {
+    if (const auto* request = std::get_if<loan_request>(&payload)) {
+        on_request(now, from, *request);
+    } else if (const auto* answer = std::get_if<loan_grant>(&payload)) {
+        on_grant(now, from, *answer);
+    } else if (const auto* message = std::get_if<loan_return>(&payload)) {
+        on_return(now, from, *message);
+    }
+}
+
+void budget_manager::on_request(time_ms now, const peer_id& from, const loan_request& request) {
+    auto* state = find(request.budget);
+    if (state == nullptr || stopping_ || from.incarnation == self_.incarnation) {
+        return;
+    }
+    settle(*state, now);
+    if (!state->home || !state->home_usable) {
+        return;
+    }
+    // A duplicated or overtaken request would reserve an amount that its sender no longer expects.
+    std::erase_if(state->last_requests,
+                  [&](const auto& entry) { return entry.second.seen + duplicate_memory < now; });
+    auto& last = state->last_requests[from.incarnation];
+    if (request.sequence <= last.sequence) {
+        return;
+    }
+    last = {request.sequence, now};
+    if (grant(*state, now, from, request) || request.renews != 0) {
+        return;
+    }
+    std::erase_if(state->queue, [&](const queued_request& queued) {
+        return queued.until <= now || queued.borrower.incarnation == from.incarnation;
+    });
+    if (state->queue.size() < lender_queue_length) {
+        state->queue.push_back({from, request, now + lender_queue_time});
+    }
+}
+
+// Gives a new loan or extends one. The amount leaves the own bucket before the grant is sent.
+bool budget_manager::grant(budget_state& state, time_ms now, const peer_id& borrower,
+                           const loan_request& request) {
+    if (state.given_sum.rate > state.home_amount.rate ||
+        state.given_sum.capacity > state.home_amount.capacity) {
+        return false;
+    }
+    time_ms duration = loan_duration;
+    if (now + with_drift(duration) > state.lease_expiry) {
+        duration = time_ms{((state.lease_expiry - now).count - 11) * 1000 / 1021};
+    }
+    if (duration < tick) {
+        return false;
+    }
+    if (request.renews != 0) {
+        const auto found = state.given.find(request.renews);
+        if (found == state.given.end() || found->second.borrower.incarnation != borrower.incarnation) {
+            return false;
+        }
+        const budget_amount amount{found->second.amount.rate, found->second.amount.capacity, 0};
+        if (send(now, borrower, loan_grant{state.name, request.sequence, request.renews, amount, duration},
+                 0)) {
+            found->second.expiry = std::max(found->second.expiry, now + with_drift(duration));
+            ++counters_.grants_sent;
+            apply_limits(state);
+            schedule(state, state.next_event);
+        }
+        return true;
+    }
+    const std::int64_t demand = state.demand.rate(now);
+    const std::int64_t kept_rate = above_zero(demand + demand / 10 - state.taken_sum.rate);
+    const std::int64_t kept_capacity =
+        demand == 0 ? 0 : above_zero(2 * token + demand * buffer_ms - state.taken_sum.capacity);
+    const std::int64_t kept_tokens = std::min(kept_capacity, state.waiting * token + demand * buffer_ms / 4);
+    const budget_amount own = state.own_home();
+    budget_amount amount;
+    amount.rate = std::clamp<std::int64_t>(request.wanted.rate, 0, above_zero(own.rate - kept_rate));
+    amount.capacity =
+        std::clamp<std::int64_t>(request.wanted.capacity, 0, above_zero(own.capacity - kept_capacity));
+    // The own bucket must be able to hold the refill of the rate that stays, and the loan that of its own
+    // rate.
+    amount.rate = std::min(amount.rate, amount.capacity / 2);
+    // Tokens that would no longer fit into the own bucket go along even when they are not asked for.
+    const std::int64_t own_limit =
+        state.bucket.capacity() - amount.capacity - state.bucket.rate() + amount.rate;
+    const std::int64_t spare_tokens = above_zero(state.bucket.level() - kept_tokens);
+    amount.tokens = std::min(spare_tokens, std::max(request.wanted.tokens, state.bucket.level() - own_limit));
+    amount.tokens = std::clamp<std::int64_t>(amount.tokens, 0, above_zero(amount.capacity - amount.rate));
+    const bool useful_rate = amount.rate > 0 && amount.rate * 20 >= request.wanted.rate;
+    if (amount.capacity == 0 || (!useful_rate && amount.tokens == 0)) {
+        return false;
+    }
+    const std::uint64_t id = ++next_id_;
+    if (!send(now, borrower, loan_grant{state.name, request.sequence, id, amount, duration}, 0)) {
+        return false;
+    }
+    ++counters_.grants_sent;
+    state.bucket.take(amount.tokens);
+    state.given_sum.rate += amount.rate;
+    state.given_sum.capacity += amount.capacity;
+    state.given.emplace(id, given_loan{borrower, amount, now + with_drift(duration)});
+    apply_limits(state);
+    schedule(state, state.next_event);
+    return true;
+}
+
+void budget_manager::on_grant(time_ms now, const peer_id& from, const loan_grant& answer) {
+    auto* state = find(answer.budget);
+    if (state == nullptr) {
+        ++counters_.grants_dropped;
+        return;
+    }
+    settle(*state, now);
+    const auto request = std::find_if(state->pending.begin(), state->pending.end(), [&](const auto& pending) {
+        return pending.sequence == answer.sequence && pending.lender == from.incarnation;
+    });
+    if (request == state->pending.end()) {
+        ++counters_.grants_dropped;
+        return;
+    }
+    const pending_request answered = *request;
+    state->pending.erase(request);
+    for (auto& known : state->lenders) {
+        if (known.open == answered.sequence) {
+            known.open = 0;
+            known.backoff = answer_timeout;
+            known.ask_again = now;
+        }
+    }
+    const time_ms expiry = answered.sent + answer.duration;
+    const bool malformed = answer.amount.rate < 0 || answer.amount.capacity < 0 || answer.amount.tokens < 0;
+    if (expiry <= now || answer.duration > loan_duration || malformed) {
+        ++counters_.grants_dropped;
+        return;
+    }
+    const auto held = std::find_if(state->taken.begin(), state->taken.end(), [&](const taken_loan& loan) {
+        return loan.id == answer.loan && loan.lender.incarnation == from.incarnation;
+    });
+    if (answered.renews != 0) {
+        if (held != state->taken.end() && answered.renews == answer.loan) {
+            held->expiry = std::max(held->expiry, expiry);
+        }
+    } else if (held == state->taken.end()) {
+        state->taken.push_back({answer.loan, from, answer.amount, expiry});
+        state->taken_sum.rate += answer.amount.rate;
+        state->taken_sum.capacity += answer.amount.capacity;
+    }
+    apply_limits(*state);
+    if (answered.renews == 0) {
+        state->bucket.add(answer.amount.tokens);
+    }
+    if (stopping_) {
+        return_unneeded(*state, now);
+    }
+    notify(*state);
+    schedule(*state, std::min(state->next_event, now + tick));
+}
+
+void budget_manager::on_return(time_ms now, const peer_id& from, const loan_return& message) {
+    auto* state = find(message.budget);
+    if (state == nullptr) {
+        return;
+    }
+    settle(*state, now);
+    const auto found = state->given.find(message.loan);
+    if (found == state->given.end() || found->second.borrower.incarnation != from.incarnation) {
+        return;
+    }
+    const budget_amount amount = found->second.amount;
+    state->given_sum.rate -= amount.rate;
+    state->given_sum.capacity -= amount.capacity;
+    state->given.erase(found);
+    apply_limits(*state);
+    state->bucket.add(std::clamp<std::int64_t>(message.tokens, 0, amount.capacity));
+    serve_queued(*state, now);
+    notify(*state);
+    schedule(*state, std::min(state->next_event, state->demand.rate(now) > 0 ? now + tick : never));
+}
+
+void budget_manager::serve_queued(budget_state& state, time_ms now) {
+    std::erase_if(state.queue, [&](const queued_request& queued) { return queued.until <= now; });
+    while (!state.queue.empty()) {
+        const queued_request next = state.queue.front();
+        if (!grant(state, now, next.borrower, next.request)) {
+            return;
+        }
+        state.queue.pop_front();
+    }
+}
+
+void budget_manager::notify(budget_state& state) {
+    if (state.waiting > 0 && !state.ready && state.bucket.level() >= token) {
+        state.ready = true;
+        ready_.push_back(state.name);
+    }
+}
+
+void budget_manager::return_loan(budget_state& state, taken_loan& loan) {
+    const std::int64_t level = state.bucket.level();
+    state.taken_sum.rate -= loan.amount.rate;
+    state.taken_sum.capacity -= loan.amount.capacity;
+    const taken_loan returned = loan;
+    std::erase_if(state.taken, [&](const taken_loan& other) {
+        return other.id == returned.id && other.lender.incarnation == returned.lender.incarnation;
+    });
+    apply_limits(state);
+    // Tokens that no longer fit into the bucket go back with the loan.
+    const std::int64_t tokens = std::min(level - state.bucket.level(), returned.amount.capacity);
+    const time_ms now = state.bucket.updated();
+    if (send(now, returned.lender, loan_return{state.name, returned.id, tokens}, 0)) {
+        ++counters_.returns_sent;
+    }
+}
+
+// Returns the loans that the demand does not need, the most distant lender first.
+void budget_manager::return_unneeded(budget_state& state, time_ms now) {
+    const std::int64_t demand = stopping_ ? 0 : state.demand.rate(now);
+    const std::int64_t need_rate = demand + demand / 5;
+    const std::int64_t need_capacity = demand == 0 ? 0 : 2 * token + demand * buffer_ms;
+    const auto distance = [&](const taken_loan& loan) {
+        return std::find_if(state.lenders.begin(), state.lenders.end(),
+                            [&](const lender& known) { return known.id == loan.lender; }) -
+               state.lenders.begin();
+    };
+    bool returned = true;
+    while (returned && state.waiting == 0) {
+        returned = false;
+        taken_loan* worst = nullptr;
+        for (auto& loan : state.taken) {
+            const bool rate_spare =
+                loan.amount.rate == 0 || state.bucket.rate() - loan.amount.rate >= need_rate;
+            const std::int64_t capacity_left = state.bucket.capacity() - loan.amount.capacity;
+            const bool capacity_spare = capacity_left >= need_capacity ||
+                                        (loan.amount.rate == 0 && capacity_left >= state.bucket.level());
+            if (rate_spare && capacity_spare && (worst == nullptr || distance(loan) > distance(*worst))) {
+                worst = &loan;
+            }
+        }
+        if (worst != nullptr) {
+            return_loan(state, *worst);
+            returned = true;
+        }
+    }
+}
+
+void budget_manager::renew(budget_state& state, time_ms now) {
+    for (auto& loan : state.taken) {
+        if (loan.amount.rate == 0 || loan.expiry > now + renew_before ||
+            loan.renewal_sent + renew_retry > now) {
+            continue;
+        }
+        const std::uint64_t sequence = ++next_id_;
+        if (send(now, loan.lender, loan_request{state.name, sequence, {}, loan.id}, 0)) {
+            ++counters_.renewals_sent;
+            loan.renewal_sent = now;
+            state.pending.push_back({sequence, loan.lender.incarnation, loan.id, {}, now});
+        }
+    }
+}
+
+// Asks the lenders for what the demand needs beyond the own bucket and the requests under way.
+void budget_manager::borrow(budget_state& state, time_ms now) {
+    const std::int64_t demand = state.demand.rate(now);
+    if ((demand == 0 && state.waiting == 0) || state.taken.size() >= most_loans_per_budget) {
+        return;
+    }
+    const std::int64_t low = demand * buffer_ms / 2;
+    const bool urgent = state.bucket.level() < std::max(token, low / 2) || state.waiting > 0;
+    if (!urgent && state.bucket.rate() >= demand + demand / 50) {
+        return;
+    }
+    budget_amount want;
+    want.rate = above_zero(demand + demand / 10 - state.bucket.rate());
+    want.tokens = above_zero(state.waiting * token + low + token - state.bucket.level());
+    want.capacity = std::max(above_zero(2 * token + demand * buffer_ms - state.bucket.capacity()),
+                             want.tokens + 2 * want.rate);
+    for (const auto& pending : state.pending) {
+        if (pending.renews == 0 && pending.sent + answer_timeout > now) {
+            want.rate -= std::min(want.rate, pending.wanted.rate / 2);
+            want.tokens -= std::min(want.tokens, pending.wanted.tokens / 2);
+        }
+    }
+    if (want.rate < demand / 50 && want.tokens < token) {
+        return;
+    }
+    const auto others = static_cast<std::int64_t>(state.lenders.size()) - 1;
+    bool first = true;
+    for (auto& known : state.lenders) {
+        if (known.open != 0 && known.ask_again <= now) {
+            // No answer: the lender has nothing, is unreachable, or a message was lost.
+            known.open = 0;
+            known.backoff = std::min(known.backoff * 2, longest_backoff);
+        }
+        if (known.open != 0 || known.ask_again > now) {
+            first = false;
+            continue;
+        }
+        // The nearest lender is asked for everything; in an emergency the others for twice an equal part
+        // each.
+        budget_amount part = want;
+        if (!first && others > 2) {
+            part.rate = want.rate * 2 / others;
+            part.tokens = std::max(std::min(token, want.tokens), want.tokens * 2 / others);
+            part.capacity = std::max(part.tokens + 2 * part.rate, want.capacity * 2 / others);
+        }
+        const std::uint64_t sequence = ++next_id_;
+        if (!send(now, known.id, loan_request{state.name, sequence, part, 0}, request_reserve)) {
+            return;
+        }
+        ++counters_.requests_sent;
+        known.open = sequence;
+        known.ask_again = now + known.backoff;
+        state.pending.push_back({sequence, known.id.incarnation, 0, part, now});
+        if (!urgent) {
+            return;
+        }
+        first = false;
+    }
+}
+
+// Brings loans in line with the demand.
+void budget_manager::drive(budget_state& state, time_ms now) {
+    state.demand.decay(now);
+    std::erase_if(state.pending, [&](const auto& pending) { return pending.sent + loan_duration <= now; });
+    return_unneeded(state, now);
+    renew(state, now);
+    if (!stopping_) {
+        borrow(state, now);
+    }
+    notify(state);
+    time_ms wake = state.next_event;
+    if (state.waiting > 0) {
+        wake = std::min({wake, now + tick, std::max(now + time_ms{1}, state.bucket.time_of(token))});
+    } else if (!state.taken.empty() || state.demand.rate(now) > 0 || !state.pending.empty()) {
+        wake = std::min(wake, now + tick);
+    }
+    schedule(state, wake);
+}
+
+void budget_manager::on_tick(time_ms now) {
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        auto& state = *timers_.begin()->second;
+        schedule(state, never);
+        settle(state, now);
+        drive(state, now);
+    }
+}
+
+void budget_manager::stop(time_ms now) {
+    stopping_ = true;
+    for (auto& [name, state] : budgets_) {
+        settle(*state, now);
+        state->queue.clear();
+        state->waiting = 0;
+        return_unneeded(*state, now);
+        drop_home(now, name);
+    }
+}
+
+void budget_manager::schedule(budget_state& state, time_ms wake) {
+    if (state.wake != never) {
+        timers_.erase({state.wake, &state});
+    }
+    state.wake = wake;
+    if (wake != never) {
+        timers_.emplace(wake, &state);
+    }
+}
+
+time_ms budget_manager::next_wakeup() const {
+    return timers_.empty() ? never : timers_.begin()->first;
+}
+
+std::vector<send_action> budget_manager::take_actions() {
+    return std::exchange(actions_, {});
+}
+
+std::vector<std::string> budget_manager::take_ready() {
+    for (const auto& name : ready_) {
+        find(name)->ready = false;
+    }
+    return std::exchange(ready_, {});
+}
+
+budget_amount budget_manager::held(time_ms now, std::string_view budget) {
+    auto* state = find(budget);
+    if (state == nullptr) {
+        return {};
+    }
+    settle(*state, now);
+    return {state->bucket.rate(), state->bucket.capacity(), state->bucket.level()};
+}
+
+} // namespace lacewing
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -96,11 +96,16 @@
     std::int64_t tokens = 0;
 };
 
-/// @brief Asks a home for a loan from its share.
+/// @brief Asks a home for a loan from its share, or to extend a loan.
 struct loan_request {
     std::string budget;
+    /// Grows with every request of an incarnation; the first one is drawn from the incarnation, so that a
+    /// grant to a predecessor on the same address matches no request of its successor.
     std::uint64_t sequence = 0;
+    /// Ignored when a loan is extended.
     budget_amount wanted;
+    /// Loan to extend, 0 for a new loan.
+    std::uint64_t renews = 0;
 };
 
 /// @brief A loan; the lender has subtracted it from its own share before sending.
@@ -108,8 +113,9 @@
     std::string budget;
     /// Sequence of the request that this answers; the loan runs from the time that request was sent.
     std::uint64_t sequence = 0;
-    /// Identifies the loan at the lender.
+    /// Identifies the loan at the lender; equal to loan_request::renews when that loan is extended.
     std::uint64_t loan = 0;
+    /// Amount of the whole loan; an extension carries no tokens.
     budget_amount amount;
     time_ms duration;
 };
