--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -1,8 +1,8 @@
 #include "coordination/budget_manager.h"
 
 #include <algorithm>
-#include <utility>
 #include <deque>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -317,9 +317,10 @@
         return;
     }
     const bool continues = state.home && state.home_usable;
-    // Loans must end before the lease: a lease that shortens leaves those beyond it as excess.
+    // Loans given beyond a reduced share or beyond a shortened lease run out as excess.
+    const bool reduced = amount.rate < state.given_sum.rate || amount.capacity < state.given_sum.capacity;
     for (const auto& [id, loan] : state.given) {
-        if (loan.expiry > lease_expiry || loan.amount.rate > 0 || loan.amount.capacity > 0) {
+        if (reduced || loan.expiry > lease_expiry) {
             state.excess_until = std::max(state.excess_until, loan.expiry);
         }
     }
@@ -500,9 +501,12 @@
     // The own bucket must be able to hold the refill of the rate that stays, and the loan that of its own
     // rate.
     amount.rate = std::min(amount.rate, amount.capacity / 2);
-    amount.tokens =
-        std::clamp<std::int64_t>(request.wanted.tokens, 0, above_zero(state.bucket.level() - kept_tokens));
-    amount.tokens = std::min(amount.tokens, above_zero(amount.capacity - amount.rate));
+    // Tokens that would no longer fit into the own bucket go along even when they are not asked for.
+    const std::int64_t own_limit =
+        state.bucket.capacity() - amount.capacity - state.bucket.rate() + amount.rate;
+    const std::int64_t spare_tokens = above_zero(state.bucket.level() - kept_tokens);
+    amount.tokens = std::min(spare_tokens, std::max(request.wanted.tokens, state.bucket.level() - own_limit));
+    amount.tokens = std::clamp<std::int64_t>(amount.tokens, 0, above_zero(amount.capacity - amount.rate));
     const bool useful_rate = amount.rate > 0 && amount.rate * 20 >= request.wanted.rate;
     if (amount.capacity == 0 || (!useful_rate && amount.tokens == 0)) {
         return false;
