--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -120,7 +120,12 @@
     // The ack of another incarnation tells the sender that its target no longer runs at this address.
     ack answer;
     answer.probe.sequence = payload.probe.sequence;
-    answer.probe.updates = updates_for(message.from.incarnation);
+    // A ping without updates asks for a short answer, unless the sender must learn how it is seen.
+    const auto known = table_.find(message.from.incarnation);
+    const bool trusted_sender = known != table_.end() && known->second.record.state == member_state::alive;
+    if (!payload.probe.updates.empty() || !trusted_sender) {
+        answer.probe.updates = updates_for(message.from.incarnation);
+    }
     out.push_back({message.from, std::move(answer)});
 }
 
@@ -375,10 +380,19 @@
     return updates;
 }
 
-send_action membership::make_ping(const peer_id& target, time_ms now) {
+bool membership::awaits_ack(incarnation_id target, time_ms now) const {
+    return std::any_of(outstanding_.rbegin(), outstanding_.rend(), [&](const auto& item) {
+        return item.second.target.incarnation == target &&
+               now - item.second.sent_at < settings_.probe_interval;
+    });
+}
+
+send_action membership::make_ping(const peer_id& target, time_ms now, bool with_updates) {
     ping probe;
     probe.probe.sequence = ++sequence_;
-    probe.probe.updates = updates_for(target.incarnation);
+    if (with_updates) {
+        probe.probe.updates = updates_for(target.incarnation);
+    }
     outstanding_[sequence_] = {target, now};
     return {target, std::move(probe)};
 }
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -64,7 +64,10 @@
     /// incarnation.
     void rejoin(incarnation_id incarnation, time_ms now);
     /// @brief A ping outside the probe schedule, for a caller that needs the peer's answer.
-    [[nodiscard]] send_action make_ping(const peer_id& target, time_ms now);
+    /// @param with_updates False for frequent pings; the answer then carries no updates either.
+    [[nodiscard]] send_action make_ping(const peer_id& target, time_ms now, bool with_updates = true);
+    /// @brief Whether a ping to the target was sent within the last probe interval and not answered yet.
+    [[nodiscard]] bool awaits_ack(incarnation_id target, time_ms now) const;
     /// @brief Time at which this process sent the ping that the message answers.
     /// @return Nothing when the message is no ack, or no direct answer of the pinged process.
     [[nodiscard]] std::optional<time_ms> request_time(const peer_message& message) const;
--- /dev/null
+++ b/src/coordination/spread_node.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "coordination/key_freshness.h"
+#include "coordination/membership.h"
+#include "coordination/object_replica.h"
+
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/// @brief Settings of the control work of one VM.
+struct spread_settings {
+    membership_settings membership;
+    replica_settings replica;
+    freshness_settings freshness;
+    /// Period of the watchers' tree messages and of their exchange with other zones.
+    time_ms pulse{1000};
+    /// Shortest time between two pulses when a zone's store access changes.
+    time_ms min_pulse{200};
+    time_ms election_interval{500};
+    /// Age at which the clock mapping to a watcher of the own zone is renewed.
+    time_ms round_trip_interval{10'000};
+};
+
+/// @brief Connects membership, replica and freshness of one VM: fills the probes, elects watchers, sends
+/// pulses.
+class spread_node {
+public:
+    spread_node(const peer_id& self, const std::string& caller_address, const spread_settings& settings,
+                std::uint64_t seed, time_ms now);
+
+    /// @brief Advances the timers; to be called about every 50 ms.
+    [[nodiscard]] replica_actions tick(time_ms now);
+    /// @brief Handles a message of a kind that concerns membership or replication; ignores other kinds.
+    [[nodiscard]] replica_actions receive(const peer_message& message, time_ms now);
+    /// @brief Handles the result of a store call.
+    [[nodiscard]] replica_actions receive(const store_result& result, time_ms now);
+    /// @brief Rejoins under a new incarnation after fencing.
+    void rejoin(incarnation_id incarnation, time_ms now);
+
+    /// @brief Verdict on the key list at the time of use.
+    /// @param zones Zones of the newest configuration.
+    /// @return stale while this process is fenced.
+    [[nodiscard]] key_verdict verdict(time_ms now, std::span<const zone_name> zones) const;
+    [[nodiscard]] const peer_id& self() const { return members_.self(); }
+    [[nodiscard]] lacewing::membership& members() { return members_; }
+    [[nodiscard]] const lacewing::membership& members() const { return members_; }
+    [[nodiscard]] object_replica& replica() { return replica_; }
+    [[nodiscard]] const object_replica& replica() const { return replica_; }
+    [[nodiscard]] const key_freshness& freshness() const { return freshness_; }
+    [[nodiscard]] bool watcher() const { return watcher_; }
+
+private:
+    void note_probe(const peer_message& message, const probe_payload& probe, time_ms now);
+    void elect(time_ms now);
+    void pulse(time_ms now, replica_actions& out);
+    void renew_round_trips(time_ms now, replica_actions& out);
+    void finish(time_ms now, replica_actions& out);
+    void fill(probe_payload& probe, bool own_zone_only, time_ms now) const;
+
+    spread_settings settings_;
+    lacewing::membership members_;
+    object_replica replica_;
+    key_freshness freshness_;
+    std::vector<peer_id> trusted_zone_;
+    std::vector<peer_id> own_watchers_;
+    std::vector<std::vector<peer_id>> foreign_watchers_;
+    bool watcher_ = false;
+    bool urgent_ = false;
+    std::uint64_t pulses_ = 0;
+    time_ms next_election_;
+    time_ms last_pulse_;
+};
+
+} // namespace lacewing
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -41,14 +41,6 @@
     a("revision", v.revision.value);
 }
 
-template <class Archive>
-void fields(Archive& a, zone_report& v) {
-    a("zone", v.zone.value);
-    a("age", v.age.count);
-    a("confirmation_age", v.confirmation_age.count);
-    a("reachable", v.store_reachable);
-}
-
 template <class Archive>
 void fields(Archive& a, freshness_report& v) {
     a("clock", v.clock.count);
@@ -182,6 +174,15 @@
     static Json::Value to_json(std::shared_ptr<const std::string>& v) {
         return v ? Json::Value(*v) : Json::Value(Json::nullValue);
     }
+    // Zone reports are the most frequent record; an array takes a third of the bytes of an object.
+    static Json::Value to_json(zone_report& v) {
+        Json::Value array(Json::arrayValue);
+        array.append(v.zone.value);
+        array.append(to_json(v.age.count));
+        array.append(to_json(v.confirmation_age.count));
+        array.append(v.store_reachable);
+        return array;
+    }
     template <class T>
     static Json::Value to_json(std::vector<T>& values) {
         Json::Value array(Json::arrayValue);
@@ -270,6 +271,13 @@
         require(json.isString() || json.isNull(), path, "a string or null");
         v = json.isNull() ? nullptr : std::make_shared<const std::string>(json.asString());
     }
+    static void parse(const Json::Value& json, const std::string& path, zone_report& v) {
+        require(json.isArray() && json.size() == 4, path, "an array of 4");
+        parse(json[0], path, v.zone.value);
+        parse(json[1], path, v.age.count);
+        parse(json[2], path, v.confirmation_age.count);
+        parse(json[3], path, v.store_reachable);
+    }
     template <class T>
     static void parse(const Json::Value& json, const std::string& path, std::vector<T>& values) {
         require(json.isArray(), path, "an array");
