Add the operators' tool lacewingctl

Operators need to check, apply and audit the lists, give and withdraw keys, and request drains and version moves.

One source per group of commands over a blocking store access that recognises its own write after a lost answer by its written_by mark. Each write creates history/<revision> and reports on which VMs it is in force. Not yet run against a store.

--- /dev/null
+++ b/src/ctl/move_commands.cpp
@@ -0,0 +1,253 @@
+#include "ctl/commands.h"
+#include "ctl/fleet.h"
+
+#include "transport/monotonic_clock.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace lacewing::ctl {
+
+namespace {
+
+constexpr int default_deadline_s = 600;
+
+struct drain_request {
+    std::string endpoint;
+    std::string zone;
+    std::string region;
+    int deadline_s = default_deadline_s;
+    std::string id;
+};
+
+struct version_request {
+    std::string route;
+    std::string from;
+    std::string to;
+    int deadline_s = default_deadline_s;
+    std::vector<int> cap_percent{1, 5, 25, 50, 100};
+    std::string id;
+};
+
+bool has_ended(const Json::Value& value) {
+    return value["state"] == "done" || value["state"] == "taken_back";
+}
+
+Json::Value new_move(const global_options& options, const std::string& id, int deadline_s) {
+    Json::Value value;
+    value["id"] = id;
+    value["deadline_s"] = deadline_s;
+    value["requested_by"] = options.requested_by;
+    value["requested_at"] = Json::Int64(unix_seconds_now());
+    value["state"] = "requested";
+    value["result"] = "";
+    value["evidence"] = Json::Value(Json::arrayValue);
+    return value;
+}
+
+std::string describe(const Json::Value& value) {
+    return compact_json(value.isMember("target") ? value["target"] : value["route"]);
+}
+
+// Creates a move, or replaces one that has ended. A pending one for the same target is the request itself,
+// repeated.
+exit_status start(const global_options& options, store_access& store, const std::string& key,
+                  const Json::Value& value) {
+    const auto held = store.get(key);
+    Json::Value answer;
+    answer["id"] = value["id"];
+    if (held && !has_ended(held->value)) {
+        if (describe(held->value) != describe(value) || held->value["from"] != value["from"] ||
+            held->value["to"] != value["to"] || held->value["deadline_s"] != value["deadline_s"]) {
+            throw command_error(exit_status::conflict,
+                                fmt::format("{}: conflict, a different request is {} at revision {}", key,
+                                            held->value["state"].asString(), held->revision.value));
+        }
+        answer["changed"] = false;
+        return report_write(options, held->revision, answer,
+                            fmt::format("{} is already {} at revision {}", key,
+                                        held->value["state"].asString(), held->revision.value));
+    }
+    const auto revision = write_or_conflict(store, key, value, held ? held->revision : revision_id{});
+    Json::Value evidence(Json::arrayValue);
+    evidence.append("request " + compact_json(value));
+    record_history(store, {key, revision, options.requested_by, "requested", evidence});
+    answer["changed"] = true;
+    return report_write(options, revision, answer,
+                        fmt::format("{} requested at revision {}", key, revision.value));
+}
+
+exit_status cancel(const global_options& options, const std::string& key) {
+    auto store = open_store(options);
+    const auto held = store.get(key);
+    if (!held) throw command_error(exit_status::bad_input, key + " does not exist");
+    auto value = held->value;
+    Json::Value answer;
+    answer["id"] = value["id"];
+    if (value["state"] == "taken_back") {
+        answer["changed"] = false;
+        return report_write(options, held->revision, answer, key + " is already taken back");
+    }
+    if (has_ended(value)) {
+        throw command_error(exit_status::conflict,
+                            fmt::format("{}: already {} at revision {}", key, value["state"].asString(),
+                                        held->revision.value));
+    }
+    value["state"] = "taken_back";
+    value["result"] = "cancelled by " + options.requested_by;
+    const auto revision = write_or_conflict(store, key, value, held->revision);
+    Json::Value evidence(Json::arrayValue);
+    evidence.append(
+        fmt::format("was {} at revision {}", held->value["state"].asString(), held->revision.value));
+    record_history(store, {key, revision, options.requested_by, "taken_back", evidence});
+    answer["changed"] = true;
+    return report_write(options, revision, answer,
+                        fmt::format("{} taken back at revision {}", key, revision.value));
+}
+
+exit_status show(const global_options& options, const std::string& prefix, const std::string& id) {
+    auto store = open_store(options);
+    Json::Value answer;
+    answer["moves"] = Json::Value(Json::arrayValue);
+    std::string text;
+    for (const auto& object : store.list(prefix)) {
+        if (!id.empty() && object.key != prefix + id) continue;
+        auto item = object.value;
+        item["revision"] = Json::UInt64(object.revision.value);
+        answer["moves"].append(item);
+        text += fmt::format("{}{} {} by {} at revision {} {}", text.empty() ? "" : "\n", object.key,
+                            item["state"].asString(), item["requested_by"].asString(), object.revision.value,
+                            item["result"].asString());
+    }
+    if (!id.empty() && answer["moves"].empty()) {
+        throw command_error(exit_status::bad_input, prefix + id + " does not exist");
+    }
+    print_answer(options, answer, text.empty() ? "none" : text);
+    return exit_status::done;
+}
+
+bool has_endpoint(const configuration& config, const std::string& name) {
+    return std::ranges::any_of(config.routes, [&](const auto& item) {
+        return std::ranges::any_of(item.endpoints, [&](const auto& e) { return e.name.value == name; });
+    });
+}
+
+bool has_version(const route& item, const std::string& version) {
+    return std::ranges::any_of(item.endpoints, [&](const auto& e) { return e.version == version; });
+}
+
+exit_status start_drain(const global_options& options, const drain_request& request) {
+    auto store = open_store(options);
+    const auto config = read_configuration(store).config;
+    std::string kind;
+    std::string name;
+    bool known = false;
+    if (!request.endpoint.empty()) {
+        kind = "endpoint";
+        name = request.endpoint;
+        known = has_endpoint(config, name);
+    } else if (!request.zone.empty()) {
+        kind = "zone";
+        name = request.zone;
+        known = config.find_zone(name) != nullptr;
+    } else {
+        kind = "region";
+        name = request.region;
+        known =
+            std::ranges::any_of(config.regions, [&](const auto& item) { return item.name.value == name; });
+    }
+    if (!known) {
+        throw command_error(exit_status::bad_input,
+                            fmt::format("{} '{}' is not in the stored configuration", kind, name));
+    }
+    const auto id = request.id.empty() ? fmt::format("{}-{}", kind, name) : request.id;
+    auto value = new_move(options, id, request.deadline_s);
+    value["target"]["kind"] = kind;
+    value["target"]["name"] = name;
+    return start(options, store, "drains/" + id, value);
+}
+
+exit_status start_version(const global_options& options, const version_request& request) {
+    auto store = open_store(options);
+    const auto config = read_configuration(store).config;
+    const auto* route = config.find_route(request.route);
+    if (route == nullptr) {
+        throw command_error(exit_status::bad_input, fmt::format("route '{}' is not known", request.route));
+    }
+    for (const auto& version : {request.from, request.to}) {
+        if (has_version(*route, version)) continue;
+        throw command_error(exit_status::bad_input, fmt::format("route '{}' has no endpoint of version '{}'",
+                                                                request.route, version));
+    }
+    const auto& caps = request.cap_percent;
+    if (request.from == request.to || !std::ranges::is_sorted(caps) || caps.back() != 100) {
+        throw command_error(exit_status::bad_input, "versions must differ and caps must rise to 100");
+    }
+    const auto id =
+        request.id.empty() ? fmt::format("{}-{}-{}", request.route, request.from, request.to) : request.id;
+    auto value = new_move(options, id, request.deadline_s);
+    value["route"] = request.route;
+    value["from"] = request.from;
+    value["to"] = request.to;
+    for (const auto percent : caps)
+        value["cap_percent"].append(percent);
+    return start(options, store, "moves/" + id, value);
+}
+
+// Adds status and cancel, which are alike for drains and version moves.
+void add_common(CLI::App& group, const global_options& options, chosen_command& chosen,
+                const std::string& prefix) {
+    auto id = std::make_shared<std::string>();
+    auto* status = group.add_subcommand("status", "Show one or all");
+    status->add_option("ID", *id);
+    status->callback([&options, &chosen, id, prefix] {
+        chosen = [&options, id, prefix] { return show(options, prefix, *id); };
+    });
+    auto* cancel_command = group.add_subcommand("cancel", "Take back");
+    cancel_command->add_option("ID", *id)->required();
+    cancel_command->callback([&options, &chosen, id, prefix] {
+        chosen = [&options, id, prefix] { return cancel(options, prefix + *id); };
+    });
+}
+
+} // namespace
+
+void add_move_commands(CLI::App& app, const global_options& options, chosen_command& chosen) {
+    const auto deadlines = CLI::Range(1, 7 * 24 * 3600);
+    auto* drain = app.add_subcommand("drain", "Take an endpoint, a zone or a region out of service");
+    drain->require_subcommand(1);
+    drain->fallthrough();
+    auto drained = std::make_shared<drain_request>();
+    auto* start_command = drain->add_subcommand("start", "Request a drain");
+    auto* target = start_command->add_option_group("target");
+    target->add_option("--endpoint", drained->endpoint);
+    target->add_option("--zone", drained->zone);
+    target->add_option("--region", drained->region);
+    target->require_option(1);
+    start_command->add_option("--deadline", drained->deadline_s, "Seconds")->check(deadlines);
+    start_command->add_option("--id", drained->id, "Default: kind and name of the target");
+    start_command->callback([&options, &chosen, drained] {
+        chosen = [&options, drained] { return start_drain(options, *drained); };
+    });
+    add_common(*drain, options, chosen, "drains/");
+
+    auto* version = app.add_subcommand("version", "Move a route's traffic from one version to another");
+    version->require_subcommand(1);
+    version->fallthrough();
+    auto moved = std::make_shared<version_request>();
+    auto* move_command = version->add_subcommand("start", "Request a version move");
+    move_command->add_option("ROUTE", moved->route)->required();
+    move_command->add_option("--from", moved->from, "Version that serves now")->required();
+    move_command->add_option("--to", moved->to, "New version")->required();
+    move_command->add_option("--deadline", moved->deadline_s, "Seconds")->check(deadlines);
+    move_command->add_option("--caps", moved->cap_percent, "Percent of the route per stage")
+        ->delimiter(',')
+        ->check(CLI::Range(1, 100));
+    move_command->add_option("--id", moved->id, "Default: route and versions");
+    move_command->callback([&options, &chosen, moved] {
+        chosen = [&options, moved] { return start_version(options, *moved); };
+    });
+    add_common(*version, options, chosen, "moves/");
+}
+
+} // namespace lacewing::ctl
--- /dev/null
+++ b/src/ctl/store_access.cpp
@@ -0,0 +1,118 @@
+#include "ctl/store_access.h"
+
+#include "ctl/context.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <fmt/format.h>
+#include <json/reader.h>
+#include <random>
+
+namespace lacewing::ctl {
+
+namespace {
+
+using namespace literals;
+
+constexpr time_ms store_timeout = 5_s;
+// A write is sent again only after a read has shown that the earlier one had no effect.
+constexpr int write_attempts = 3;
+
+std::string draw_incarnation() {
+    std::random_device source;
+    return to_hex({(std::uint64_t{source()} << 32U) | source()});
+}
+
+stored_object object_of(const Json::Value& answer) {
+    return {answer["key"].asString(), {answer["revision"].asUInt64()}, answer["value"]};
+}
+
+[[noreturn]] void fail_status(const std::string& what, const http_response& answer) {
+    throw store_unreachable(fmt::format("store answered {} to {}", answer.result_int(), what));
+}
+
+} // namespace
+
+http_response request_and_wait(boost::asio::io_context& loop, http_client& client, const std::string& method,
+                               const std::string& target, http_headers headers, const std::string& body,
+                               time_ms timeout) {
+    auto answer = boost::asio::co_spawn(
+        loop, client.request(method, target, std::move(headers), body, timeout), boost::asio::use_future);
+    loop.restart();
+    loop.run();
+    return answer.get();
+}
+
+Json::Value parse_json(const std::string& text, const std::string& source) {
+    Json::CharReaderBuilder builder;
+    Json::Value value;
+    std::string errors;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors) || !value.isObject()) {
+        throw std::runtime_error(fmt::format("{} is not a JSON object: {}", source, errors));
+    }
+    return value;
+}
+
+store_access::store_access(const std::string& address)
+    : loop_(std::make_unique<boost::asio::io_context>()), client_(loop_->get_executor(), address),
+      incarnation_(draw_incarnation()) {}
+
+http_response store_access::send(const std::string& method, const std::string& target, http_headers headers,
+                                 const std::string& body) {
+    return request_and_wait(*loop_, client_, method, target, std::move(headers), body, store_timeout);
+}
+
+std::optional<stored_object> store_access::get(const std::string& key) {
+    try {
+        const auto answer = send("GET", "/v1/objects/" + key, {}, "");
+        if (answer.result_int() == 404) return std::nullopt;
+        if (answer.result_int() != 200) fail_status("GET " + key, answer);
+        return object_of(parse_json(answer.body(), "answer of the store"));
+    } catch (const http_error& e) {
+        throw store_unreachable(e.what());
+    }
+}
+
+std::vector<stored_object> store_access::list(const std::string& prefix) {
+    try {
+        const auto answer = send("GET", "/v1/objects?prefix=" + prefix, {}, "");
+        if (answer.result_int() != 200) fail_status("GET with prefix " + prefix, answer);
+        std::vector<stored_object> objects;
+        const auto root = parse_json(answer.body(), "answer of the store");
+        for (const auto& item : root["objects"])
+            objects.push_back(object_of(item));
+        return objects;
+    } catch (const http_error& e) {
+        throw store_unreachable(e.what());
+    }
+}
+
+write_result store_access::put(const std::string& key, Json::Value value, revision_id expected) {
+    const auto mark = fmt::format("{}:{}", incarnation_, ++writes_);
+    value["written_by"] = mark;
+    const auto body = compact_json(value);
+    std::string failure;
+    for (int attempt = 0; attempt < write_attempts; ++attempt) {
+        try {
+            const auto answer =
+                send("PUT", "/v1/objects/" + key, {{"If-Match", fmt::format("{}", expected.value)}}, body);
+            if (answer.result_int() == 200) {
+                return {true, {parse_json(answer.body(), "answer of the store")["revision"].asUInt64()}};
+            }
+            if (answer.result_int() == 413) {
+                throw command_error(exit_status::bad_input, fmt::format("{} exceeds 1 MB", key));
+            }
+            if (answer.result_int() != 412) fail_status("PUT " + key, answer);
+        } catch (const http_error& e) {
+            failure = e.what();
+        }
+        const auto current = get(key);
+        const auto revision = current ? current->revision : revision_id{};
+        if (current && current->value["written_by"] == mark) return {true, revision};
+        if (revision != expected) return {false, revision};
+    }
+    throw store_unreachable(failure.empty() ? "store refuses a write at the current revision" : failure);
+}
+
+} // namespace lacewing::ctl
--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -144,7 +144,9 @@
 
 void read_text(std::string_view text, std::string_view file, draft& made) {
     const yaml_reader root(text, file);
-    root.allow({"regions", "zones", "links", "routes", "plans", "accounts", "classes"});
+    // The last two stand in stored configurations: the mark of the writer and the name of the operator.
+    root.allow({"regions", "zones", "links", "routes", "plans", "accounts", "classes", "written_by",
+                "requested_by"});
     auto& config = made.config;
     read_section(root, "regions", made, config.regions, read_region);
     read_section(root, "zones", made, config.zones, read_zone);
