--- /dev/null
+++ b/src/coordination/serving_snapshot.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "coordination/router.h"
+#include "state/block_table.h"
+#include "state/configuration.h"
+#include "state/ids.h"
+#include "state/key_list.h"
+#include "state/object_event.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/// @brief Everything that the request path reads; built by the control thread and never changed afterwards.
+struct serving_snapshot {
+    /// Store revision up to which the snapshot is complete.
+    revision_id revision;
+    std::shared_ptr<const configuration> config;
+    std::shared_ptr<const key_list> keys;
+    std::vector<endpoint_name> drained;
+    std::vector<version_share> shares;
+};
+
+/// @brief Time up to which the key list may be used without new evidence, checked at each use.
+struct key_validity {
+    time_ms valid_until{-1};
+    /// Why the list is used or not, for the dump.
+    std::string verdict;
+};
+
+/// @brief A stored object that was not accepted; the last good one stays in force.
+struct rejected_object {
+    std::string key;
+    revision_id revision;
+    std::string reason;
+};
+
+/// @brief Derives snapshots from the replicated objects.
+class snapshot_builder {
+public:
+    using object_map = std::map<std::string, object_event>;
+
+    /// @brief Takes over the objects that changed.
+    /// @param changed Keys that changed since the last call.
+    /// @return True when the snapshot differs from the last one.
+    bool update(const object_map& objects, std::span<const std::string> changed, revision_id revision);
+
+    /// @brief The newest snapshot; null before the first valid configuration.
+    [[nodiscard]] std::shared_ptr<const serving_snapshot> snapshot() const { return snapshot_; }
+
+    /// @brief Client blocks and the sites they name.
+    [[nodiscard]] std::shared_ptr<const block_table> blocks() const { return blocks_; }
+    [[nodiscard]] std::span<const block_site> sites() const { return sites_; }
+    [[nodiscard]] bool move_in_progress() const { return move_in_progress_; }
+
+    /// @brief Revision of config/current that is in force.
+    [[nodiscard]] revision_id config_revision() const { return config_revision_; }
+    /// @brief Objects whose newest revision was not accepted, by key.
+    [[nodiscard]] const std::map<std::string, rejected_object>& rejected() const { return rejected_; }
+
+private:
+    void read_config(const object_event& object);
+    void read_moves(const object_map& objects);
+    void read_blocks(const object_map& objects, revision_id revision);
+    void drain_target(std::string_view kind, std::string_view name, std::vector<endpoint_name>& out) const;
+
+    std::shared_ptr<const configuration> config_;
+    revision_id config_revision_;
+    std::shared_ptr<const key_list> keys_ = std::make_shared<key_list>();
+    std::vector<endpoint_name> drained_;
+    std::vector<version_share> shares_;
+    std::shared_ptr<const block_table> blocks_;
+    std::vector<block_site> sites_;
+    bool move_in_progress_ = false;
+    std::map<std::string, rejected_object> rejected_;
+    std::shared_ptr<const serving_snapshot> snapshot_;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/control_thread.cpp
@@ -0,0 +1,360 @@
+#include "daemon/control_thread.h"
+
+#include "transport/log.h"
+#include "transport/monotonic_clock.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <random>
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t input_ring_entries = 4096;
+constexpr std::chrono::milliseconds tick_interval{50};
+// Shorter than half of the freshness bound, so that a lost answer does not make the keys stale.
+constexpr time_ms watch_wait{500};
+constexpr time_ms entries_interval{250};
+// A policy verdict is renewed with every tick and must not outlive a thread that stopped.
+constexpr time_ms policy_validity{500};
+// Time in which callers ask again for entry VMs before a leaving VM refuses them (design 4.10).
+constexpr std::chrono::milliseconds leave_notice{2000};
+constexpr std::chrono::milliseconds leave_poll{20};
+
+std::string write_json(const Json::Value& value) {
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+std::string_view to_string(key_verdict verdict) {
+    switch (verdict) {
+    case key_verdict::fresh:
+        return "fresh";
+    case key_verdict::serve_under_outage_policy:
+        return "store_outage";
+    case key_verdict::serve_under_partition_policy:
+        return "partition";
+    case key_verdict::stale:
+        return "stale";
+    }
+    return "stale";
+}
+
+std::string_view to_string(member_state state) {
+    switch (state) {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+// Whether the serve thread handles a message.
+bool concerns_serving(const peer_payload& payload) {
+    return std::holds_alternative<loan_request>(payload) || std::holds_alternative<loan_grant>(payload) ||
+           std::holds_alternative<loan_return>(payload) || std::holds_alternative<once_query>(payload) ||
+           std::holds_alternative<once_reply>(payload);
+}
+
+spread_settings spread_settings_of(const process_settings& settings) {
+    spread_settings spread;
+    spread.membership.seeds = settings.seeds;
+    spread.freshness.outage_bound = settings.key_policy.outage_bound;
+    return spread;
+}
+
+} // namespace
+
+control_thread::control_thread(const process_settings& settings, const peer_id& self,
+                               const std::string& caller_address, std::uint64_t seed,
+                               ring<serve_input>& to_serve, std::function<std::size_t()> requests_in_flight)
+    : settings_(settings), caller_address_(caller_address), seed_(seed), to_serve_(to_serve),
+      requests_in_flight_(std::move(requests_in_flight)),
+      input_(input_ring_entries, context_, [this](control_input input) { on_input(std::move(input)); }),
+      link_(context_, {}, seed, [this](std::string_view text) { on_text(text); }),
+      node_(self, caller_address, spread_settings_of(settings), seed, monotonic_now()),
+      store_(context_.get_executor(), settings.store, self.incarnation) {
+    link_.listen(settings.peer_listen);
+}
+
+control_thread::~control_thread() {
+    stop();
+}
+
+void control_thread::start() {
+    asio::co_spawn(context_, tick_loop(), asio::detached);
+    thread_ = std::thread([this] { context_.run(); });
+}
+
+void control_thread::stop() {
+    context_.stop();
+    if (thread_.joinable()) thread_.join();
+}
+
+void control_thread::leave(std::function<void()> finished) {
+    asio::post(context_, [this, finished = std::move(finished)]() mutable {
+        if (std::exchange(leaving_, true)) return;
+        asio::co_spawn(context_, leave_steps(std::move(finished)), asio::detached);
+    });
+}
+
+// Announces the stop, gives callers time to learn of other VMs, then waits for the requests in flight.
+asio::awaitable<void> control_thread::leave_steps(std::function<void()> finished) {
+    log(log_level::info, "leaving", {{"vm", settings_.vm.value}});
+    node_.members().leave();
+    push(stop_stage::leaving);
+    asio::steady_timer timer(context_, leave_notice);
+    co_await timer.async_wait(asio::use_awaitable);
+    push(stop_stage::refusing);
+    do {
+        timer.expires_after(leave_poll);
+        co_await timer.async_wait(asio::use_awaitable);
+    } while (requests_in_flight_() > 0);
+    for (const auto& action : node_.members().announce_exit(monotonic_now()))
+        send(action);
+    // The links write in the background; the announcement is a courtesy, so a fixed time for it is enough.
+    timer.expires_after(leave_poll);
+    co_await timer.async_wait(asio::use_awaitable);
+    finished();
+}
+
+asio::awaitable<void> control_thread::tick_loop() {
+    asio::steady_timer timer(context_);
+    while (true) {
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        try {
+            tick();
+        } catch (const std::exception& problem) {
+            log(log_level::error, "control_tick_failed", {{"reason", problem.what()}});
+        }
+    }
+}
+
+void control_thread::tick() {
+    const auto now = monotonic_now();
+    rejoin_if_fenced(now);
+    carry_out(node_.tick(now));
+    refresh_snapshot();
+    refresh_validity(now);
+    if (now >= next_entries_) {
+        next_entries_ = now + entries_interval;
+        refresh_entries(now);
+        refresh_budgets(now);
+    }
+    flush_pending();
+}
+
+void control_thread::on_text(std::string_view text) {
+    try {
+        const auto message = decoder_.decode(text);
+        const auto own = node_.self().incarnation;
+        if (message.to.value != 0 && message.to != own) return;
+        if (concerns_serving(message.payload)) {
+            push(message);
+            return;
+        }
+        carry_out(node_.receive(message, monotonic_now()));
+        refresh_snapshot();
+    } catch (const error& problem) {
+        ++bad_messages_;
+        log(log_level::warn, "peer_message_rejected", {{"reason", problem.what()}});
+    }
+}
+
+void control_thread::on_input(control_input input) {
+    if (const auto* action = std::get_if<send_action>(&input)) send(*action);
+}
+
+void control_thread::carry_out(replica_actions actions) {
+    for (const auto& action : actions.sends)
+        send(action);
+    for (const auto& call : actions.store_calls)
+        asio::co_spawn(context_, call_store(call), asio::detached);
+}
+
+void control_thread::send(const send_action& action) {
+    peer_message message;
+    message.from = node_.self();
+    message.to = action.to.incarnation;
+    message.payload = action.payload;
+    link_.send(action.to.address, encode_peer_message(message));
+}
+
+// Makes one store call for the replica and hands its result back.
+asio::awaitable<void> control_thread::call_store(store_action action) {
+    store_result result;
+    store_list_result answer;
+    if (const auto* watch = std::get_if<store_watch>(&action)) {
+        result.call = watch->call;
+        answer = co_await store_.watch("", watch->after, watch_wait);
+    } else {
+        result.call = std::get<store_list>(action).call;
+        answer = co_await store_.list("");
+    }
+    if (auto* objects = std::get_if<store_objects>(&answer)) {
+        result.outcome = store_outcome::success;
+        result.revision = objects->revision;
+        result.events = std::move(objects->objects);
+    }
+    carry_out(node_.receive(result, monotonic_now()));
+    refresh_snapshot();
+}
+
+void control_thread::refresh_snapshot() {
+    const auto changed = node_.replica().take_changed_keys();
+    if (!node_.replica().complete()) return;
+    const auto before = builder_.config_revision();
+    if (!builder_.update(node_.replica().objects(), changed, node_.replica().revision())) return;
+    if (before != builder_.config_revision()) {
+        log(log_level::info, "configuration_in_force", {{"revision", builder_.config_revision().value}});
+        zones_.clear();
+        for (const auto& zone : builder_.snapshot()->config->zones)
+            zones_.push_back(zone.name);
+    }
+    for (const auto& [key, rejected] : builder_.rejected()) {
+        if (std::find(changed.begin(), changed.end(), key) == changed.end()) continue;
+        log(log_level::error, "object_rejected",
+            {{"key", key}, {"revision", rejected.revision.value}, {"reason", rejected.reason}});
+    }
+    unsent_snapshot_ = builder_.snapshot();
+    flush_pending();
+}
+
+void control_thread::flush_pending() {
+    if (unsent_snapshot_ && to_serve_.push(unsent_snapshot_)) unsent_snapshot_.reset();
+}
+
+// A full ring drops the entry: validity, entries and shares are sent again, messages are repeated by their
+// senders.
+void control_thread::push(serve_input input) {
+    if (!to_serve_.push(std::move(input))) log(log_level::warn, "serve_ring_full");
+}
+
+void control_thread::refresh_validity(time_ms now) {
+    const auto verdict = node_.verdict(now, zones_);
+    key_validity validity;
+    validity.verdict = to_string(verdict);
+    if (verdict == key_verdict::fresh) {
+        const auto age = node_.freshness().age(now);
+        if (age) validity.valid_until = now - *age + freshness_settings{}.bound;
+    }
+    const auto& policy = settings_.key_policy;
+    if ((verdict == key_verdict::serve_under_outage_policy && policy.serve_on_store_outage) ||
+        (verdict == key_verdict::serve_under_partition_policy && policy.serve_on_partition)) {
+        validity.valid_until = now + policy_validity;
+    }
+    push(validity);
+}
+
+// Rebuilds what lookups answer from the membership and the configuration.
+void control_thread::refresh_entries(time_ms now) {
+    const auto snapshot = builder_.snapshot();
+    if (!snapshot) return;
+    auto view = std::make_shared<entry_view>();
+    view->revision = snapshot->revision;
+    view->blocks = builder_.blocks();
+    std::vector<entry_candidate> candidates;
+    for (const auto& record : node_.members().records()) {
+        if (record.state == member_state::dead) continue;
+        view->peers.emplace(record.id.incarnation, record.id);
+        const auto* zone = snapshot->config->find_zone(record.id.zone.value);
+        if (zone == nullptr || record.caller_address.empty()) continue;
+        entry_candidate candidate;
+        candidate.vm = static_cast<std::uint32_t>(view->vms.size());
+        candidate.incarnation = record.id.incarnation;
+        candidate.zone = zone->name;
+        candidate.region = zone->region;
+        candidate.state = record.state;
+        candidates.push_back(candidate);
+        view->vms.push_back({record.caller_address, zone->name, record.id.incarnation});
+    }
+    std::vector<std::pair<zone_name, region_name>> zones;
+    for (const auto& zone : snapshot->config->zones)
+        zones.emplace_back(zone.name, zone.region);
+    view->selector = std::make_shared<entry_selector>(candidates, builder_.sites(), zones);
+    push(std::shared_ptr<const entry_view>(std::move(view)));
+    (void)now;
+}
+
+void control_thread::refresh_budgets(time_ms now) {
+    const auto snapshot = builder_.snapshot();
+    if (!snapshot) return;
+    (void)now;
+}
+
+// A paused process may have been declared dead; it continues as a new one, without shares and evidence.
+void control_thread::rejoin_if_fenced(time_ms now) {
+    if (node_.members().status(now) != membership_status::fenced) return;
+    std::random_device entropy;
+    const incarnation_id fresh{(std::uint64_t{entropy()} << 32U) | entropy()};
+    log(log_level::warn, "fenced", {{"old", to_hex(node_.self().incarnation)}, {"new", to_hex(fresh)}});
+    node_.rejoin(fresh, now);
+    push(new_incarnation{node_.self()});
+}
+
+std::string control_thread::readiness() const {
+    if (leaving_) return "leaving";
+    if (!builder_.snapshot()) return "no configuration yet";
+    return "ready";
+}
+
+std::string control_thread::fleet() const {
+    Json::Value root;
+    root["vm"] = settings_.vm.value;
+    root["revision"] = Json::UInt64(node_.replica().revision().value);
+    root["config_revision"] = Json::UInt64(builder_.config_revision().value);
+    root["members"] = Json::Value(Json::arrayValue);
+    for (const auto& record : node_.members().records()) {
+        Json::Value member;
+        member["vm"] = record.id.vm.value;
+        member["zone"] = record.id.zone.value;
+        member["address"] = record.caller_address;
+        member["state"] = std::string(to_string(record.state));
+        member["incarnation"] = to_hex(record.id.incarnation);
+        const bool own = record.id.incarnation == node_.self().incarnation;
+        member["revision"] = Json::UInt64(own ? node_.replica().revision().value : record.revision.value);
+        root["members"].append(member);
+    }
+    return write_json(root) + "\n";
+}
+
+std::string control_thread::dump() const {
+    const auto now = monotonic_now();
+    Json::Value root;
+    root["vm"] = settings_.vm.value;
+    root["zone"] = settings_.zone.value;
+    root["incarnation"] = to_hex(node_.self().incarnation);
+    root["revision"] = Json::UInt64(node_.replica().revision().value);
+    root["config_revision"] = Json::UInt64(builder_.config_revision().value);
+    root["objects"] = Json::UInt64(node_.replica().objects().size());
+    root["watches_store"] = node_.watcher();
+    root["key_verdict"] = std::string(to_string(node_.verdict(now, zones_)));
+    const auto age = node_.freshness().age(now);
+    root["key_age_ms"] = Json::Int64(age ? age->count : -1);
+    for (const auto& [key, rejected] : builder_.rejected()) {
+        root["rejected"][key]["revision"] = Json::UInt64(rejected.revision.value);
+        root["rejected"][key]["reason"] = rejected.reason;
+    }
+    const auto& counters = link_.counters();
+    root["peers"]["messages_sent"] = Json::UInt64(counters.messages_sent);
+    root["peers"]["bytes_sent"] = Json::UInt64(counters.bytes_sent);
+    root["peers"]["messages_received"] = Json::UInt64(counters.messages_received);
+    root["peers"]["bytes_received"] = Json::UInt64(counters.bytes_received);
+    root["peers"]["messages_dropped"] = Json::UInt64(counters.messages_dropped);
+    root["peers"]["messages_rejected"] = Json::UInt64(bad_messages_);
+    return write_json(root);
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,89 @@
+#include "daemon/control_thread.h"
+#include "daemon/operator_port.h"
+#include "daemon/serve_thread.h"
+#include "state/settings.h"
+#include "transport/log.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace {
+
+constexpr int exit_bad_input = 2;
+
+std::uint64_t random_bits() {
+    std::random_device entropy;
+    return (std::uint64_t{entropy()} << 32U) | entropy();
+}
+
+lacewing::process_settings read_settings(const std::string& file) {
+    std::ifstream in(file);
+    if (!in) throw lacewing::config_error(file, 0, "", "the file cannot be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return lacewing::parse_settings(text.str(), file);
+}
+
+// Runs the threads until SIGTERM or SIGINT and a graceful stop.
+void run(const lacewing::process_settings& settings) {
+    using namespace lacewing;
+    prometheus::Registry registry;
+    const auto seed = random_bits();
+    peer_id self{settings.vm, settings.zone, settings.peer_listen, incarnation_id{random_bits()}};
+
+    serve_thread serve(settings, self, seed, registry);
+    control_thread control(settings, self, serve.caller_address(), seed, serve.input(),
+                           [&serve] { return serve.requests_in_flight(); });
+    serve.connect(control.input());
+    operator_port operators(settings.operator_listen, registry,
+                            {&serve.context(), [&serve] { return serve.state().dump(); }, &control.context(),
+                             [&control] { return control.dump(); }, [&control] { return control.fleet(); },
+                             [&control] { return control.readiness(); }});
+    boost::asio::io_context signals;
+    boost::asio::signal_set stop(signals, SIGTERM, SIGINT);
+    serve.start();
+    control.start();
+    operators.start();
+    log(log_level::info, "started",
+        {{"vm", settings.vm.value},
+         {"zone", settings.zone.value},
+         {"incarnation", to_hex(self.incarnation)},
+         {"callers", serve.caller_address()},
+         {"operators", operators.address()}});
+    stop.async_wait([&control, &signals](const boost::system::error_code&, int) {
+        control.leave([&signals] { signals.stop(); });
+    });
+    const auto keep_running = boost::asio::make_work_guard(signals);
+    signals.run();
+    control.stop();
+    serve.stop();
+    operators.stop();
+    log(log_level::info, "stopped", {{"vm", settings.vm.value}});
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"lacewingd: entry process of the lacewingplank traffic steering system"};
+    std::string settings_file;
+    app.add_option("--settings", settings_file, "Settings of this process (YAML)")->required();
+    app.set_version_flag("--version", std::string("lacewingd ") + LACEWING_VERSION);
+    app.footer("Exit status: 0 after a graceful stop, 1 when a port cannot be bound, 2 for bad settings.");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        run(read_settings(settings_file));
+    } catch (const lacewing::config_error& problem) {
+        std::cerr << problem.what() << '\n';
+        return exit_bad_input;
+    } catch (const std::exception& problem) {
+        lacewing::log(lacewing::log_level::error, "start_failed", {{"reason", problem.what()}});
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/daemon/operator_port.cpp
@@ -0,0 +1,89 @@
+#include "daemon/operator_port.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <fmt/format.h>
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A thread that does not answer an operator within this time is reported as stuck.
+constexpr std::chrono::milliseconds source_limit{2000};
+
+struct pending_text {
+    explicit pending_text(asio::io_context& context) : timer(context, source_limit) {}
+    asio::steady_timer timer;
+    std::string text;
+    bool done = false;
+};
+
+// Runs a function on the thread of another context and waits for its text; empty when that thread does not
+// answer.
+asio::awaitable<std::string> ask(asio::io_context& own, asio::io_context& owner,
+                                 std::function<std::string()> produce) {
+    auto pending = std::make_shared<pending_text>(own);
+    asio::post(owner, [&own, pending, produce = std::move(produce)] {
+        auto text = produce();
+        asio::post(own, [pending, text = std::move(text)]() mutable {
+            pending->text = std::move(text);
+            pending->done = true;
+            pending->timer.cancel();
+        });
+    });
+    boost::system::error_code ignored;
+    if (!pending->done)
+        co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return pending->text;
+}
+
+} // namespace
+
+operator_port::operator_port(const std::string& listen, prometheus::Registry& registry, sources from)
+    : registry_(registry), from_(std::move(from)),
+      server_(std::make_unique<http_server>(
+          context_.get_executor(), listen, http_limits{},
+          [this](http_request request) { return answer(std::move(request)); })) {}
+
+operator_port::~operator_port() {
+    stop();
+}
+
+void operator_port::start() {
+    thread_ = std::thread([this] { context_.run(); });
+}
+
+void operator_port::stop() {
+    context_.stop();
+    if (thread_.joinable()) thread_.join();
+}
+
+asio::awaitable<http_response> operator_port::answer(http_request request) {
+    const std::string target(request.target());
+    if (target == "/metrics") co_return make_response(200, metrics(), "text/plain; version=0.0.4");
+    if (target == "/healthz") {
+        const auto reason = co_await ask(context_, *from_.control, from_.not_ready);
+        if (reason == "ready") co_return make_response(200, "{\"ready\":true}\n");
+        co_return make_response(503,
+                                fmt::format("{{\"ready\":false,\"reason\":\"{}\"}}\n",
+                                            reason.empty() ? "the control thread does not answer" : reason));
+    }
+    if (target == "/fleet") co_return make_response(200, co_await ask(context_, *from_.control, from_.fleet));
+    if (target == "/dump") {
+        const auto serve = co_await ask(context_, *from_.serve, from_.serve_dump);
+        const auto control = co_await ask(context_, *from_.control, from_.control_dump);
+        co_return make_response(200, fmt::format("{{\"serve\":{},\n\"control\":{}}}\n",
+                                                 serve.empty() ? "null" : serve,
+                                                 control.empty() ? "null" : control));
+    }
+    co_return make_response(404,
+                            "{\"error\":\"not_found\",\"detail\":\"/metrics, /dump, /fleet or /healthz\"}\n");
+}
+
+std::string operator_port::metrics() const {
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+} // namespace lacewing
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -62,6 +62,7 @@
     std::string key;
     std::string rest;
     std::string request_id;
+    once_lease once;
     // First piece of the body; the whole body when parser.is_done().
     std::vector<char> first_piece;
     bool streamed = false;
@@ -77,7 +78,7 @@
 class caller_session {
 public:
     caller_session(asio::ip::tcp::socket socket, serve_state& state)
-        : stream_(std::move(socket)), state_(state), open_(state.open_connection(stream_)) {}
+        : stream_(std::move(socket)), state_(state), open_(state, stream_) {}
 
     asio::awaitable<void> run();
 
@@ -186,8 +187,8 @@
     const std::string target(current.parser.get().target());
     boost::system::error_code failure;
     const auto peer = stream_.socket().remote_endpoint(failure).address();
-    auto body = lookup_answer(state_, target, peer);
-    state_.count_lookup();
+    auto body = lookup_answer(state_.entries().get(), target, peer.to_string());
+    state_.metrics().count_lookup();
     co_await write_text(current, 200, std::move(body), "ran");
 }
 
@@ -200,15 +201,16 @@
     const auto id = request.find("x-request-id");
     if (id != request.end()) current.request_id = std::string(id->value());
 
-    once_lease once;
-    if (current.identity.route->once) once = co_await state_.begin_once(current.identity, current.request_id);
+    // A refusal for rate comes before the claim, so that it does not use up the request id.
     co_await state_.admit(current.identity, current.deadline);
-    co_await receive_first_piece(current);
+    if (current.identity.route->once)
+        current.once = co_await state_.begin_once(current.identity, current.request_id);
     try {
+        co_await receive_first_piece(current);
         co_await forward_with_retries(current);
-        once.finish(request_effect::ran);
+        current.once.finish(request_effect::ran);
     } catch (const error& problem) {
-        once.finish(answer_for(problem.kind()).effect);
+        current.once.finish(answer_for(problem.kind()).effect);
         throw;
     }
 }
@@ -263,19 +265,21 @@
 // another try.
 asio::awaitable<void> caller_session::forward_with_retries(exchange& current) {
     std::vector<std::uint32_t> tried;
-    for (int attempt = 0;; ++attempt) {
+    state_.count_first_attempt();
+    while (true) {
         auto lease = co_await state_.acquire_endpoint(current.identity, tried, current.deadline);
         const auto failure = co_await forward(current, lease);
-        if (!failure) {
-            state_.record_success(current.identity, monotonic_now() - current.received);
-            co_return;
-        }
+        if (!failure)
+            co_return state_.record(current.identity, std::nullopt, monotonic_now() - current.received);
+        const bool proven = answer_for(failure->kind).effect == request_effect::not_run;
+        if (proven) current.once.attempt_not_run();
         tried.push_back(lease.endpoint());
-        const bool body_is_held = !current.streamed;
-        const bool may_retry = body_is_held && !current.answer_started &&
-                               state_.may_retry(current.identity, failure->kind, attempt, current.deadline);
-        if (!may_retry) throw error(failure->kind, failure->detail);
-        co_await state_.retry_delay(attempt);
+        failed_attempt attempt{failure->kind, static_cast<std::uint32_t>(tried.size()),
+                               current.deadline - monotonic_now(),
+                               !current.streamed && !current.answer_started, proven};
+        const auto delay = state_.retry_delay(current.identity, attempt);
+        if (!delay) throw error(failure->kind, failure->detail);
+        co_await state_.sleep(*delay);
     }
 }
 
@@ -292,6 +296,7 @@
         lease.finish(attempt_outcome::failure);
         co_return failure;
     }
+    current.once.before_send();
     failure = co_await send_request(current, *connection);
     if (failure) {
         lease.finish(failure->kind == error_kind::upload_aborted ? attempt_outcome::neutral
@@ -413,7 +418,7 @@
 asio::awaitable<std::optional<attempt_failure>>
 caller_session::await_answer(exchange& current, endpoint_lease& lease, endpoint_connection& from,
                              std::optional<answer_parser>& answer) {
-    auto watch = watch_caller(stream_, from.stream);
+    caller_watch watch(stream_, from.stream);
     const bool head_request = current.parser.get().method() == http::verb::head;
     const auto failure = co_await read_answer_header(from, answer, head_request);
     watch.stop();
--- /dev/null
+++ b/src/daemon/serve_state.cpp
@@ -0,0 +1,528 @@
+#include "daemon/serve_state.h"
+
+#include "protocol/caller_http.h"
+#include "state/key_digest.h"
+#include "transport/log.h"
+#include "transport/monotonic_clock.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Longest time that a request waits for a loan (design 4.4).
+constexpr time_ms budget_wait_limit{150};
+
+std::string account_budget(const account_name& name) {
+    return "account/" + name.value;
+}
+
+} // namespace
+
+// ---- endpoint_lease
+
+endpoint_lease::endpoint_lease(serve_state& state, route_ticket ticket, time_ms started)
+    : state_(&state), ticket_(ticket), started_(started) {}
+
+endpoint_lease::~endpoint_lease() {
+    finish(attempt_outcome::neutral);
+}
+
+endpoint_lease::endpoint_lease(endpoint_lease&& other) noexcept
+    : state_(std::exchange(other.state_, nullptr)), ticket_(other.ticket_), started_(other.started_),
+      load_(other.load_) {}
+
+endpoint_lease& endpoint_lease::operator=(endpoint_lease&& other) noexcept {
+    if (this == &other) return *this;
+    finish(attempt_outcome::neutral);
+    state_ = std::exchange(other.state_, nullptr);
+    ticket_ = other.ticket_;
+    started_ = other.started_;
+    load_ = other.load_;
+    return *this;
+}
+
+std::string_view endpoint_lease::address() const {
+    return state_->router_->view(ticket_.endpoint).address;
+}
+
+void endpoint_lease::report_load(std::string_view text) {
+    double load = 0;
+    const auto [stop, status] = std::from_chars(text.data(), text.data() + text.size(), load);
+    if (status == std::errc{} && stop == text.data() + text.size() && load >= 0 && load <= 1) load_ = load;
+}
+
+void endpoint_lease::finish(attempt_outcome outcome) {
+    if (state_ == nullptr) return;
+    attempt_result result;
+    result.outcome = outcome;
+    result.latency = monotonic_now() - started_;
+    result.reported_load = load_;
+    std::exchange(state_, nullptr)->finish_attempt(ticket_, result);
+}
+
+// ---- once_lease
+
+once_lease::~once_lease() {
+    finish(request_effect::outcome_unknown);
+}
+
+once_lease::once_lease(once_lease&& other) noexcept
+    : state_(std::exchange(other.state_, nullptr)), ticket_(other.ticket_) {}
+
+once_lease& once_lease::operator=(once_lease&& other) noexcept {
+    if (this == &other) return *this;
+    finish(request_effect::outcome_unknown);
+    state_ = std::exchange(other.state_, nullptr);
+    ticket_ = other.ticket_;
+    return *this;
+}
+
+void once_lease::before_send() {
+    if (state_ == nullptr || state_->once_.may_send(serve_state::clock_now(), ticket_)) return;
+    throw error(error_kind::outcome_unknown, "the request id may no longer be sent");
+}
+
+void once_lease::attempt_not_run() {
+    if (state_ != nullptr) state_->once_.attempt_not_run(ticket_);
+}
+
+void once_lease::finish(request_effect effect) {
+    if (state_ == nullptr) return;
+    auto outcome = once_outcome::unknown;
+    if (effect == request_effect::ran) outcome = once_outcome::ran;
+    if (effect == request_effect::not_run) outcome = once_outcome::not_run;
+    std::exchange(state_, nullptr)->once_.finish(ticket_, outcome);
+}
+
+// ---- connection_registration
+
+connection_registration::connection_registration(serve_state& state, boost::beast::tcp_stream& stream)
+    : state_(state), stream_(stream), position_(state.connections_.insert(state.connections_.end(), this)) {}
+
+connection_registration::~connection_registration() {
+    set_busy(false);
+    state_.connections_.erase(position_);
+}
+
+void connection_registration::set_busy(bool busy) {
+    if (busy == busy_) return;
+    busy_ = busy;
+    used_ = true;
+    if (busy) {
+        ++state_.busy_;
+    } else {
+        --state_.busy_;
+    }
+}
+
+// ---- caller_watch
+
+caller_watch::caller_watch(boost::beast::tcp_stream& caller, boost::beast::tcp_stream& endpoint)
+    : shared_(std::make_shared<shared_flags>()) {
+    shared_->endpoint = &endpoint;
+    shared_->caller = &caller;
+    caller.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                               [shared = shared_](boost::system::error_code failure) {
+                                   if (shared->stopped || failure == asio::error::operation_aborted) return;
+                                   char byte = 0;
+                                   if (!failure) {
+                                       shared->caller->socket().receive(
+                                           asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
+                                   }
+                                   // Bytes of a pipelined request are left alone.
+                                   if (!failure || failure == asio::error::would_block) return;
+                                   shared->caller_left = true;
+                                   shared->endpoint->cancel();
+                               });
+}
+
+void caller_watch::stop() {
+    if (std::exchange(shared_->stopped, true)) return;
+    boost::system::error_code ignored;
+    shared_->caller->socket().cancel(ignored);
+}
+
+// ---- serve_state
+
+serve_state::serve_state(asio::io_context& context, const process_settings& settings, const peer_id& self,
+                         std::uint64_t seed, prometheus::Registry& registry, send_function send)
+    : context_(context), settings_(settings), self_(self), send_(std::move(send)), random_(seed),
+      budgets_(std::make_unique<budget_manager>(self)), budget_timer_(context), once_(self.incarnation),
+      pool_(context.get_executor()), metrics_(registry) {}
+
+void serve_state::apply(std::shared_ptr<const serving_snapshot> snapshot) {
+    if (snapshot_ && snapshot->revision < snapshot_->revision) {
+        log(log_level::error, "older_snapshot_rejected",
+            {{"held", snapshot_->revision.value}, {"offered", snapshot->revision.value}});
+        return;
+    }
+    snapshot_ = std::move(snapshot);
+    const auto& config = *snapshot_->config;
+    if (!router_) router_.emplace(config, settings_.zone, random_());
+    router_->update(config, snapshot_->drained, snapshot_->shares);
+    while (queues_.size() < config.routes.size()) {
+        queues_.emplace_back(static_cast<std::size_t>(settings_.limits.queue_length));
+    }
+}
+
+void serve_state::apply(const peer_message& message) {
+    const auto now = monotonic_now();
+    if (const auto* query = std::get_if<once_query>(&message.payload)) {
+        send_(
+            {message.from, once_reply{query->sequence, once_.answer_query(clock_now(), query->request_id)}});
+        return;
+    }
+    if (const auto* reply = std::get_if<once_reply>(&message.payload)) {
+        const auto answered = queries_.on_reply(message.from.incarnation, *reply);
+        if (answered) complete_query(*answered);
+        return;
+    }
+    budgets_->on_message(now, message.from, message.payload);
+    pump_budgets();
+}
+
+void serve_state::apply(const home_update& update) {
+    const auto now = monotonic_now();
+    if (update.held) {
+        budgets_->set_home(now, update.budget, update.amount, update.lease_expiry, update.usable_from);
+    } else {
+        budgets_->drop_home(now, update.budget);
+    }
+    pump_budgets();
+}
+
+void serve_state::apply(const lender_update& update) {
+    budgets_->set_lenders(update.budget, update.lenders);
+}
+
+void serve_state::apply(stop_stage stage) {
+    leaving_ = true;
+    if (stage != stop_stage::refusing) return;
+    refusing_ = true;
+    budgets_->stop(monotonic_now());
+    pump_budgets();
+    close_idle_connections();
+}
+
+// Shares and loans belong to an incarnation, so a fenced process starts without any.
+void serve_state::apply(const new_incarnation& changed) {
+    self_ = changed.self;
+    budgets_ = std::make_unique<budget_manager>(self_);
+    once_.rebind(self_.incarnation);
+    validity_ = {};
+    pump_budgets();
+}
+
+// Sends what the budgets produced and wakes the requests that wait for them.
+void serve_state::pump_budgets() {
+    for (auto& action : budgets_->take_actions())
+        send_(std::move(action));
+    for (const auto& budget : budgets_->take_ready()) {
+        const auto [begin, end] = budget_waiters_.equal_range(budget);
+        for (auto waiter = begin; waiter != end; ++waiter) {
+            waiter->second->notified = true;
+            waiter->second->timer.cancel();
+        }
+    }
+    arm_budget_timer();
+}
+
+void serve_state::arm_budget_timer() {
+    const auto wakeup = budgets_->next_wakeup();
+    if (wakeup == armed_wakeup_) return;
+    armed_wakeup_ = wakeup;
+    const auto delay = std::clamp<std::int64_t>((wakeup - monotonic_now()).count, 0, 60'000);
+    budget_timer_.expires_after(std::chrono::milliseconds(delay));
+    budget_timer_.async_wait([this](boost::system::error_code failure) {
+        if (failure) return;
+        armed_wakeup_ = time_ms{-1};
+        budgets_->on_tick(monotonic_now());
+        pump_budgets();
+    });
+}
+
+request_identity serve_state::find_route(std::string_view name) const {
+    if (refusing_) throw error(error_kind::vm_leaving, "this VM is leaving; ask for the entry VMs again");
+    if (!snapshot_) throw error(error_kind::not_configured, "no configuration has been received yet");
+    request_identity identity;
+    identity.snapshot = snapshot_;
+    identity.route = snapshot_->config->find_route(name);
+    const auto index = router_->find_route(name);
+    if (identity.route == nullptr || !index) {
+        throw error(error_kind::no_such_route, fmt::format("there is no route '{}'", name));
+    }
+    identity.route_index = *index;
+    return identity;
+}
+
+// A key in the path or the query would reach the endpoint, so the request is rejected whole.
+void serve_state::reject_key_in_target(std::string_view target, std::string_view key) const {
+    const auto parts = target_parts(target);
+    const bool found = std::any_of(parts.begin(), parts.end(), [&](const std::string& part) {
+        if (!key.empty() && part.find(key) != std::string::npos) return true;
+        return snapshot_->keys->find(digest_of(part)).has_value();
+    });
+    if (found)
+        throw error(error_kind::bad_request, "the target holds a key; send it in the Authorization header");
+}
+
+void serve_state::identify(request_identity& identity, std::string_view key) const {
+    if (key.empty()) throw error(error_kind::key_rejected, "the route needs a key");
+    if (monotonic_now() > validity_.valid_until) {
+        throw error(error_kind::keys_stale, "this VM cannot show that its key list is current");
+    }
+    const auto owner = snapshot_->keys->find(digest_of(key));
+    const auto& config = *snapshot_->config;
+    if (owner) identity.account = config.find_account(*owner);
+    if (identity.account == nullptr)
+        throw error(error_kind::key_rejected, "the key is unknown or was withdrawn");
+    identity.account_index = static_cast<std::uint32_t>(identity.account - config.accounts.data());
+    identity.plan = config.find_plan(identity.account->plan.value);
+    const auto& routes = identity.plan->routes;
+    if (std::find(routes.begin(), routes.end(), identity.route->name) == routes.end()) {
+        throw error(error_kind::route_not_in_plan,
+                    fmt::format("plan '{}' has no route '{}'", identity.plan->name.value,
+                                identity.route->name.value));
+    }
+}
+
+void serve_state::set_class(request_identity& identity, std::string_view name) {
+    const auto& classes = identity.snapshot->config->classes;
+    for (std::size_t i = 0; i < classes.size() && i < max_caller_classes; ++i) {
+        if (classes[i].name.value != name) continue;
+        identity.class_index = static_cast<std::uint8_t>(i);
+        identity.class_weight = classes[i].weight;
+    }
+}
+
+asio::awaitable<void> serve_state::admit(request_identity& identity, time_ms deadline) {
+    if (identity.account == nullptr) co_return;
+    const auto budget = account_budget(identity.account->name);
+    const auto wait_end = std::min(monotonic_now() + budget_wait_limit, deadline);
+    auto which = admission_try::first;
+    while (true) {
+        const auto verdict = budgets_->try_admit(monotonic_now(), budget, which);
+        pump_budgets();
+        if (verdict == admission::admitted) co_return;
+        if (verdict == admission::refused || which == admission_try::last) break;
+        budget_waiter waiter{asio::steady_timer(context_)};
+        waiter.timer.expires_after(
+            std::chrono::milliseconds(std::max<std::int64_t>(0, (wait_end - monotonic_now()).count)));
+        const auto place = budget_waiters_.emplace(budget, &waiter);
+        boost::system::error_code ignored;
+        co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        budget_waiters_.erase(place);
+        which = monotonic_now() >= wait_end ? admission_try::last : admission_try::again;
+    }
+    throw error(error_kind::rate_exceeded,
+                fmt::format("account '{}' is over its rate or burst", identity.account->name.value));
+}
+
+asio::awaitable<once_lease> serve_state::begin_once(request_identity& identity,
+                                                    const std::string& request_id) {
+    if (request_id.empty()) {
+        throw error(error_kind::bad_request,
+                    fmt::format("route '{}' needs an X-Request-Id", identity.route->name.value));
+    }
+    const auto begun = once_.begin(clock_now(), request_id);
+    if (begun.decision == once_registry::verdict::execute) co_return once_lease(*this, begun.ticket);
+    if (begun.decision == once_registry::verdict::answer) {
+        throw error(begun.kind, "the request id was used before or is not acceptable");
+    }
+    const auto kind = co_await ask_bound_vm(begun.bound, request_id);
+    throw error(kind, "the request id is bound to another VM");
+}
+
+// Asks the VM to which a request id is bound what became of the id.
+asio::awaitable<error_kind> serve_state::ask_bound_vm(incarnation_id bound, std::string_view request_id) {
+    const auto peer = entries_ ? entries_->peers.find(bound) : decltype(entries_->peers.find(bound)){};
+    if (!entries_ || peer == entries_->peers.end()) co_return error_kind::outcome_unknown;
+    query_waiter waiter{asio::steady_timer(context_), std::nullopt};
+    const auto number = ++next_waiter_;
+    query_waiters_.emplace(number, &waiter);
+    send_({peer->second, queries_.ask(monotonic_now(), bound, request_id, number)});
+    waiter.timer.expires_after(std::chrono::milliseconds(once_queries::reply_timeout.count));
+    boost::system::error_code ignored;
+    co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    query_waiters_.erase(number);
+    co_return waiter.answer.value_or(error_kind::outcome_unknown);
+}
+
+void serve_state::complete_query(const once_queries::answered& answered) {
+    const auto waiting = query_waiters_.find(answered.request);
+    if (waiting == query_waiters_.end()) return;
+    waiting->second->answer = answered.kind;
+    waiting->second->timer.cancel();
+}
+
+asio::awaitable<endpoint_lease> serve_state::acquire_endpoint(request_identity& identity,
+                                                              const std::vector<std::uint32_t>& tried,
+                                                              time_ms deadline) {
+    const auto now = monotonic_now();
+    // The configuration may have changed since the request arrived.
+    const auto route = router_->find_route(identity.route->name.value);
+    if (!route) throw error(error_kind::no_such_route, "the route was removed");
+    auto& queue = queues_[*route];
+    if (queue.size() == 0 || !tried.empty()) {
+        const auto ticket = router_->choose(now, *route, tried);
+        if (ticket) co_return endpoint_lease(*this, *ticket, now);
+        if (!tried.empty()) throw error(error_kind::no_capacity, "no other endpoint has headroom");
+    }
+    queued_request entry;
+    entry.id = ++next_waiter_;
+    entry.account = identity.account_index;
+    entry.account_weight = identity.plan != nullptr ? identity.plan->weight : 1;
+    entry.caller_class = identity.class_index;
+    entry.class_weight = identity.class_weight;
+    entry.deadline = deadline;
+    const auto pushed = queue.push(now, entry);
+    if (pushed.evicted) refuse_waiters({*pushed.evicted});
+    if (!pushed.accepted) throw error(error_kind::no_capacity, "the queue of the route is full");
+
+    slot_waiter waiter{asio::steady_timer(context_), std::nullopt, false};
+    slot_waiters_.emplace(entry.id, &waiter);
+    waiter.timer.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(0, (deadline - now).count)));
+    boost::system::error_code ignored;
+    co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    slot_waiters_.erase(entry.id);
+    if (waiter.ticket) co_return endpoint_lease(*this, *waiter.ticket, monotonic_now());
+    if (!waiter.refused) queue.cancel(entry.id, entry.account, entry.caller_class);
+    throw error(error_kind::no_capacity, "no endpoint became free in time");
+}
+
+void serve_state::finish_attempt(const route_ticket& ticket, const attempt_result& result) {
+    router_->finish(monotonic_now(), ticket, result);
+    for (std::uint32_t route = 0; route < queues_.size(); ++route) {
+        if (queues_[route].size() > 0) dispatch_queue(route);
+    }
+}
+
+// Hands free endpoints to the requests that wait for them.
+void serve_state::dispatch_queue(std::uint32_t route) {
+    const auto now = monotonic_now();
+    std::vector<std::uint64_t> expired;
+    while (queues_[route].size() > 0) {
+        const auto ticket = router_->choose(now, route);
+        if (!ticket) break;
+        const auto next = queues_[route].pop(now, expired);
+        const auto waiting = next ? slot_waiters_.find(next->id) : slot_waiters_.end();
+        if (waiting == slot_waiters_.end()) {
+            router_->finish(now, *ticket, {attempt_outcome::neutral, {}, {}, 0});
+            continue;
+        }
+        waiting->second->ticket = ticket;
+        waiting->second->timer.cancel();
+    }
+    queues_[route].expire(now, expired);
+    refuse_waiters(expired);
+}
+
+void serve_state::refuse_waiters(const std::vector<std::uint64_t>& ids) {
+    for (const auto id : ids) {
+        const auto waiting = slot_waiters_.find(id);
+        if (waiting == slot_waiters_.end()) continue;
+        waiting->second->refused = true;
+        waiting->second->timer.cancel();
+    }
+}
+
+std::optional<time_ms> serve_state::retry_delay(const request_identity& identity,
+                                                const failed_attempt& attempt) {
+    const auto delay = decide_retry(attempt, *identity.route, retries_, random_);
+    if (delay) metrics_.count_retry();
+    return delay;
+}
+
+asio::awaitable<void> serve_state::sleep(time_ms duration) {
+    asio::steady_timer timer(context_, std::chrono::milliseconds(duration.count));
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+void serve_state::record(const request_identity& identity, std::optional<error_kind> kind, time_ms latency) {
+    const std::string_view account =
+        identity.account != nullptr ? std::string_view(identity.account->name.value) : "-";
+    const std::string_view route =
+        identity.route != nullptr ? std::string_view(identity.route->name.value) : "-";
+    metrics_.record(account, route, kind, latency);
+}
+
+// Ends connections that wait for their next request; shutting down the read side ends the wait without a
+// reset.
+void serve_state::close_idle_connections() {
+    for (auto* connection : connections_) {
+        if (connection->busy_) continue;
+        boost::system::error_code ignored;
+        connection->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
+    }
+}
+
+// Runs every few milliseconds: queues can move without a finished attempt, for example when an endpoint warms
+// up.
+void serve_state::tick() {
+    const auto now = monotonic_now();
+    for (std::uint32_t route = 0; route < queues_.size(); ++route) {
+        if (queues_[route].size() > 0) dispatch_queue(route);
+    }
+    pool_.close_expired(now);
+    std::vector<once_queries::answered> unanswered;
+    queries_.expire(now, unanswered);
+    for (const auto& query : unanswered)
+        complete_query(query);
+}
+
+std::string serve_state::dump() {
+    Json::Value root;
+    root["revision"] = Json::UInt64(snapshot_ ? snapshot_->revision.value : 0);
+    root["keys"]["verdict"] = validity_.verdict;
+    root["keys"]["valid_for_ms"] = Json::Int64((validity_.valid_until - monotonic_now()).count);
+    root["connections"] = Json::UInt64(connections_.size());
+    root["requests_in_flight"] = Json::UInt64(busy_);
+    root["leaving"] = leaving_;
+    root["idle_endpoint_connections"] = Json::UInt64(pool_.idle_count());
+    root["request_ids"] = Json::UInt64(once_.size());
+    if (snapshot_) {
+        for (const auto& route : snapshot_->config->routes)
+            dump_route(route, root["routes"][route.name.value]);
+        for (const auto& account : snapshot_->config->accounts) {
+            const auto held = budgets_->held(monotonic_now(), account_budget(account.name));
+            auto& entry = root["accounts"][account.name.value];
+            entry["rate_per_s"] = static_cast<double>(held.rate) / 1000.0;
+            entry["burst"] = static_cast<double>(held.capacity) / 1e6;
+            entry["tokens"] = static_cast<double>(held.tokens) / 1e6;
+        }
+    }
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "  ";
+    return Json::writeString(writer, root);
+}
+
+void serve_state::dump_route(const route& of, Json::Value& out) const {
+    const auto index = router_->find_route(of.name.value);
+    if (index) out["queued"] = Json::UInt64(queues_[*index].size());
+    for (const auto& listed : of.endpoints) {
+        const auto number = router_->find_endpoint(of.name.value, listed.name.value);
+        if (!number) continue;
+        const auto state = router_->view(*number);
+        auto& entry = out["endpoints"][listed.name.value];
+        entry["in_flight"] = Json::Int64(state.in_flight);
+        entry["drained"] = state.drained;
+        entry["ejected"] = state.ejected;
+        entry["breaker"] = to_string(state.breaker);
+        entry["version"] = std::string(state.version);
+    }
+}
+
+once_time serve_state::clock_now() {
+    return {monotonic_now(), unix_seconds_now()};
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/serve_state.h
@@ -0,0 +1,256 @@
+#pragma once
+
+#include "coordination/admission_queue.h"
+#include "coordination/budget_manager.h"
+#include "coordination/entry_selector.h"
+#include "coordination/once_registry.h"
+#include "coordination/retry_budget.h"
+#include "coordination/router.h"
+#include "coordination/serving_snapshot.h"
+#include "daemon/entry_view.h"
+#include "daemon/serve_metrics.h"
+#include "daemon/thread_messages.h"
+#include "state/error_kind.h"
+#include "state/settings.h"
+#include "transport/endpoint_pool.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <json/value.h>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewing {
+
+class serve_state;
+
+/// @brief Who asks for what: the route and, except on open routes, the account of one request.
+struct request_identity {
+    /// Keeps the objects below alive while the configuration changes.
+    std::shared_ptr<const serving_snapshot> snapshot;
+    const lacewing::route* route = nullptr;
+    const lacewing::account* account = nullptr;
+    const lacewing::plan* plan = nullptr;
+    std::uint32_t route_index = 0;
+    std::uint32_t account_index = 0;
+    std::uint8_t class_index = 0;
+    std::int64_t class_weight = 1;
+};
+
+/// @brief Slot of one endpoint, held for one attempt; released exactly once.
+class endpoint_lease {
+public:
+    endpoint_lease() = default;
+    endpoint_lease(serve_state& state, route_ticket ticket, time_ms started);
+    ~endpoint_lease();
+    endpoint_lease(endpoint_lease&& other) noexcept;
+    endpoint_lease& operator=(endpoint_lease&& other) noexcept;
+    endpoint_lease(const endpoint_lease&) = delete;
+    endpoint_lease& operator=(const endpoint_lease&) = delete;
+
+    [[nodiscard]] std::uint32_t endpoint() const { return ticket_.endpoint; }
+    [[nodiscard]] std::string_view address() const;
+
+    /// @brief Notes the load that the endpoint reported; malformed text is ignored.
+    void report_load(std::string_view text);
+
+    /// @brief Releases the slot; later calls have no effect.
+    void finish(attempt_outcome outcome);
+
+private:
+    serve_state* state_ = nullptr;
+    route_ticket ticket_;
+    time_ms started_;
+    std::optional<double> load_;
+};
+
+/// @brief Claim on a request id of an at-most-once route; without a claim all calls have no effect.
+class once_lease {
+public:
+    once_lease() = default;
+    once_lease(serve_state& state, std::uint64_t ticket) : state_(&state), ticket_(ticket) {}
+    ~once_lease();
+    once_lease(once_lease&& other) noexcept;
+    once_lease& operator=(once_lease&& other) noexcept;
+    once_lease(const once_lease&) = delete;
+    once_lease& operator=(const once_lease&) = delete;
+
+    /// @brief Asked before the first byte of an attempt.
+    /// @throws error with error_kind::outcome_unknown when the request must not be sent.
+    void before_send();
+    /// @brief The attempt provably did not run.
+    void attempt_not_run();
+    void finish(request_effect effect);
+
+private:
+    serve_state* state_ = nullptr;
+    std::uint64_t ticket_ = 0;
+};
+
+/// @brief Entry of one caller connection in the list that a graceful stop goes through.
+class connection_registration {
+public:
+    connection_registration(serve_state& state, boost::beast::tcp_stream& stream);
+    ~connection_registration();
+    connection_registration(const connection_registration&) = delete;
+    connection_registration& operator=(const connection_registration&) = delete;
+    connection_registration(connection_registration&&) = delete;
+    connection_registration& operator=(connection_registration&&) = delete;
+
+    /// @brief Marks the beginning or the end of a request.
+    void set_busy(bool busy);
+    /// @brief Whether no request has begun on the connection yet.
+    [[nodiscard]] bool first_request() const { return !used_; }
+
+private:
+    friend class serve_state;
+
+    serve_state& state_;
+    boost::beast::tcp_stream& stream_;
+    bool busy_ = false;
+    bool used_ = false;
+    std::list<connection_registration*>::iterator position_;
+};
+
+/// @brief Cancels the request at an endpoint when its caller goes away; once the constructor has run.
+class caller_watch {
+public:
+    caller_watch(boost::beast::tcp_stream& caller, boost::beast::tcp_stream& endpoint);
+    ~caller_watch() { stop(); }
+    caller_watch(const caller_watch&) = delete;
+    caller_watch& operator=(const caller_watch&) = delete;
+    caller_watch(caller_watch&&) = delete;
+    caller_watch& operator=(caller_watch&&) = delete;
+
+    void stop();
+    [[nodiscard]] bool caller_left() const { return shared_->caller_left; }
+
+private:
+    struct shared_flags {
+        boost::beast::tcp_stream* endpoint;
+        boost::beast::tcp_stream* caller;
+        bool stopped = false;
+        bool caller_left = false;
+    };
+    std::shared_ptr<shared_flags> shared_;
+};
+
+/// @brief State of the serve thread: everything that decides on requests. Used by that thread only.
+class serve_state {
+public:
+    /// Sends a message of the budgets or of the once registry to a peer.
+    using send_function = std::function<void(send_action)>;
+
+    serve_state(boost::asio::io_context& context, const process_settings& settings, const peer_id& self,
+                std::uint64_t seed, prometheus::Registry& registry, send_function send);
+
+    // Inputs from the control thread.
+    void apply(std::shared_ptr<const serving_snapshot> snapshot);
+    void apply(const key_validity& validity) { validity_ = validity; }
+    void apply(std::shared_ptr<const entry_view> entries) { entries_ = std::move(entries); }
+    void apply(const peer_message& message);
+    void apply(const home_update& update);
+    void apply(const lender_update& update);
+    void apply(stop_stage stage);
+    void apply(const new_incarnation& changed);
+    static void apply(std::monostate) {}
+
+    // The request path, in its order.
+    [[nodiscard]] const limit_settings& limits() const { return settings_.limits; }
+    request_identity find_route(std::string_view name) const;
+    void reject_key_in_target(std::string_view target, std::string_view key) const;
+    void identify(request_identity& identity, std::string_view key) const;
+    static void set_class(request_identity& identity, std::string_view class_name);
+    boost::asio::awaitable<void> admit(request_identity& identity, time_ms deadline);
+    boost::asio::awaitable<once_lease> begin_once(request_identity& identity, const std::string& request_id);
+    boost::asio::awaitable<endpoint_lease>
+    acquire_endpoint(request_identity& identity, const std::vector<std::uint32_t>& tried, time_ms deadline);
+    void count_first_attempt() { retries_.on_request(); }
+    std::optional<time_ms> retry_delay(const request_identity& identity, const failed_attempt& attempt);
+    boost::asio::awaitable<void> sleep(time_ms duration);
+    endpoint_pool& pool() { return pool_; }
+
+    // Lookups.
+    [[nodiscard]] const std::shared_ptr<const entry_view>& entries() const { return entries_; }
+
+    // Bookkeeping.
+    serve_metrics& metrics() { return metrics_; }
+    [[nodiscard]] bool leaving() const { return leaving_; }
+    /// @brief Counts a finished request; an account of null stands for a caller without an accepted key.
+    void record(const request_identity& identity, std::optional<error_kind> kind, time_ms latency);
+    [[nodiscard]] std::size_t busy_connections() const { return busy_; }
+    [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
+    void tick();
+    /// @brief State for the dump: JSON text.
+    [[nodiscard]] std::string dump();
+
+private:
+    friend class endpoint_lease;
+    friend class once_lease;
+    friend class connection_registration;
+
+    struct slot_waiter {
+        boost::asio::steady_timer timer;
+        std::optional<route_ticket> ticket;
+        bool refused = false;
+    };
+    struct budget_waiter {
+        boost::asio::steady_timer timer;
+        bool notified = false;
+    };
+    struct query_waiter {
+        boost::asio::steady_timer timer;
+        std::optional<error_kind> answer;
+    };
+
+    void finish_attempt(const route_ticket& ticket, const attempt_result& result);
+    void dispatch_queue(std::uint32_t route);
+    void refuse_waiters(const std::vector<std::uint64_t>& ids);
+    void arm_budget_timer();
+    boost::asio::awaitable<error_kind> ask_bound_vm(incarnation_id bound, std::string_view request_id);
+    void complete_query(const once_queries::answered& answered);
+    void dump_route(const route& of, Json::Value& out) const;
+    void pump_budgets();
+    void close_idle_connections();
+    [[nodiscard]] static once_time clock_now();
+
+    boost::asio::io_context& context_;
+    process_settings settings_;
+    peer_id self_;
+    send_function send_;
+    std::mt19937_64 random_;
+
+    std::shared_ptr<const serving_snapshot> snapshot_;
+    std::shared_ptr<const entry_view> entries_;
+    key_validity validity_;
+    std::unique_ptr<budget_manager> budgets_;
+    boost::asio::steady_timer budget_timer_;
+    time_ms armed_wakeup_{-1};
+    std::unordered_multimap<std::string, budget_waiter*> budget_waiters_;
+    std::optional<router> router_;
+    std::vector<admission_queue> queues_;
+    std::unordered_map<std::uint64_t, slot_waiter*> slot_waiters_;
+    std::uint64_t next_waiter_ = 0;
+    retry_budget retries_;
+    once_registry once_;
+    once_queries queries_;
+    std::unordered_map<std::uint64_t, query_waiter*> query_waiters_;
+    endpoint_pool pool_;
+    serve_metrics metrics_;
+    std::list<connection_registration*> connections_;
+    std::size_t busy_ = 0;
+    bool leaving_ = false;
+    bool refusing_ = false;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/serve_thread.cpp
@@ -0,0 +1,90 @@
+#include "daemon/serve_thread.h"
+
+#include "daemon/request_path.h"
+#include "transport/ip_address.h"
+#include "transport/log.h"
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t input_ring_entries = 4096;
+constexpr std::chrono::milliseconds tick_interval{5};
+constexpr int accept_backlog = 1024;
+
+} // namespace
+
+serve_thread::serve_thread(const process_settings& settings, const peer_id& self, std::uint64_t seed,
+                           prometheus::Registry& registry)
+    : state_(context_, settings, self, seed, registry,
+             [this](send_action action) { send(std::move(action)); }),
+      input_(input_ring_entries, context_, [this](serve_input input) {
+          std::visit([this](const auto& event) { state_.apply(event); }, input);
+      }) {
+    const auto address = parse_ip_address(settings.caller_listen);
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(address);
+    acceptor_.listen(accept_backlog);
+    caller_address_ = to_string(acceptor_.local_endpoint());
+}
+
+serve_thread::~serve_thread() {
+    stop();
+}
+
+void serve_thread::start() {
+    asio::co_spawn(context_, accept(), asio::detached);
+    asio::co_spawn(context_, tick(), asio::detached);
+    thread_ = std::thread([this] { context_.run(); });
+}
+
+void serve_thread::stop() {
+    context_.stop();
+    if (thread_.joinable()) thread_.join();
+}
+
+asio::awaitable<void> serve_thread::accept() {
+    while (true) {
+        boost::system::error_code failure;
+        auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            log(log_level::warn, "accept_failed", {{"reason", failure.message()}});
+            co_await state_.sleep(time_ms{10});
+            continue;
+        }
+        if (state_.open_connections() >= static_cast<std::size_t>(state_.limits().caller_connections)) {
+            log(log_level::warn, "caller_connection_limit", {{"limit", state_.limits().caller_connections}});
+            continue;
+        }
+        asio::co_spawn(context_, serve_caller(std::move(socket), state_),
+                       [](const std::exception_ptr& problem) {
+                           if (!problem) return;
+                           try {
+                               std::rethrow_exception(problem);
+                           } catch (const std::exception& reason) {
+                               log(log_level::error, "caller_session_failed", {{"reason", reason.what()}});
+                           }
+                       });
+    }
+}
+
+asio::awaitable<void> serve_thread::tick() {
+    asio::steady_timer timer(context_);
+    while (true) {
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        state_.tick();
+        in_flight_.store(state_.busy_connections(), std::memory_order_relaxed);
+    }
+}
+
+// A full ring drops the message; loans and queries are repeated or expire.
+void serve_thread::send(send_action action) {
+    if (to_control_->push(std::move(action))) return;
+    log(log_level::warn, "control_ring_full");
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/serve_thread.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "daemon/serve_state.h"
+#include "daemon/thread_messages.h"
+#include "transport/ring.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace lacewing {
+
+/// @brief Thread that accepts callers and serves their requests.
+class serve_thread {
+public:
+    /// @throws boost::system::system_error when the caller address cannot be bound.
+    serve_thread(const process_settings& settings, const peer_id& self, std::uint64_t seed,
+                 prometheus::Registry& registry);
+    ~serve_thread();
+    serve_thread(const serve_thread&) = delete;
+    serve_thread& operator=(const serve_thread&) = delete;
+    serve_thread(serve_thread&&) = delete;
+    serve_thread& operator=(serve_thread&&) = delete;
+
+    /// @brief Connects the output; to be called once, before start.
+    void connect(ring<control_input>& to_control) { to_control_ = &to_control; }
+    ring<serve_input>& input() { return input_; }
+
+    void start();
+    /// @brief Ends the thread; requests in flight are cut, so callers stop gracefully first.
+    void stop();
+
+    [[nodiscard]] boost::asio::io_context& context() { return context_; }
+    /// @brief Only for calls on the thread of context().
+    serve_state& state() { return state_; }
+    [[nodiscard]] std::string caller_address() const { return caller_address_; }
+    /// @brief Requests in flight; may be read by any thread.
+    [[nodiscard]] std::size_t requests_in_flight() const {
+        return in_flight_.load(std::memory_order_relaxed);
+    }
+
+private:
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> tick();
+    void send(send_action action);
+
+    boost::asio::io_context context_{1};
+    boost::asio::ip::tcp::acceptor acceptor_{context_};
+    std::string caller_address_;
+    serve_state state_;
+    ring<serve_input> input_;
+    ring<control_input>* to_control_ = nullptr;
+    std::atomic<std::size_t> in_flight_{0};
+    std::thread thread_;
+};
+
+} // namespace lacewing
