--- a/src/fakes/store/store_service.h
+++ b/src/fakes/store/store_service.h
@@ -57,6 +57,8 @@
     [[nodiscard]] const store_stats& stats() const { return stats_; }
     [[nodiscard]] object_table& table() { return table_; }
     void set_faults(const store_faults& faults);
+    /// @brief Calls that wait for a change, the end of a delay or the end of a silent outage.
+    [[nodiscard]] std::size_t waiting_calls() const { return waiting_.size(); }
 
     /// @brief Answers pending watches and ends when all connections are closed.
     boost::asio::awaitable<void> stop();
