--- a/src/fakes/endpoint/endpoint_behaviour.h
+++ b/src/fakes/endpoint/endpoint_behaviour.h
@@ -2,14 +2,12 @@
 
 #include "state/time_ms.h"
 
+#include <json/value.h>
+
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace Json {
-class Value;
-}
-
 namespace lacewing::fakes {
 
 /// @brief How an answer is damaged after its request has been executed.
--- a/src/fakes/endpoint/fake_endpoint.cpp
+++ b/src/fakes/endpoint/fake_endpoint.cpp
@@ -32,7 +32,7 @@
 
 namespace {
 
-constexpr std::size_t body_chunk = 64 * 1024;
+constexpr std::size_t body_chunk = std::size_t{64} * 1024;
 
 auto completion(error_code& failure) {
     return asio::redirect_error(asio::use_awaitable, failure);
@@ -188,7 +188,9 @@
     const auto state = co_await execute(peer, request);
     shared_->ledger.finish(entry, state);
     bool keep = false;
-    if (state != execution_state::cancelled) keep = co_await answer(peer, request, state, keep_alive);
+    if (state != execution_state::cancelled) {
+        keep = co_await answer(peer, request, state, keep_alive);
+    }
     --in_flight_;
     co_return keep;
 }
@@ -300,8 +302,12 @@
     const bool damaged =
         behaviour_.answer != answer_fault::none && shared_->chance(behaviour_.answer_fraction);
     bool keep = false;
-    if (damaged) keep = co_await answer_with_fault(peer, response);
-    if (!damaged) keep = co_await write(peer, response);
+    if (damaged) {
+        keep = co_await answer_with_fault(peer, response);
+    }
+    if (!damaged) {
+        keep = co_await write(peer, response);
+    }
     co_return keep;
 }
 
@@ -339,7 +345,9 @@
         bytes.resize(bytes.size() - response.body().size() / 2);
     }
     co_await asio::async_write(peer->socket, asio::buffer(bytes), completion(failure));
-    if (kind == answer_fault::endless && !failure) co_await write_without_end(peer);
+    if (kind == answer_fault::endless && !failure) {
+        co_await write_without_end(peer);
+    }
     if (kind == answer_fault::reset_in_answer) reset(peer->socket);
     co_return kind == answer_fault::wrong_length && !failure && response.keep_alive();
 }
--- a/src/fakes/store/object_table.h
+++ b/src/fakes/store/object_table.h
@@ -32,7 +32,7 @@
 /// Keeps the newest state of each key, so events between two reads of a key are merged into the newest one.
 class object_table {
 public:
-    static constexpr std::size_t max_value_bytes = 1024 * 1024;
+    static constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
 
     /// @param expected Revision at which the object must be; 0 when it must not exist.
     write_outcome put(std::string_view key, std::string value, revision_id expected);
--- a/src/protocol/url.cpp
+++ b/src/protocol/url.cpp
@@ -64,10 +64,11 @@
     std::string encoded;
     encoded.reserve(text.size());
     for (const char c : text) {
-        if (is_unreserved(c))
+        if (is_unreserved(c)) {
             encoded.push_back(c);
-        else
+        } else {
             encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+        }
     }
     return encoded;
 }
--- a/src/transport/store_client.cpp
+++ b/src/transport/store_client.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-constexpr std::size_t max_value_bytes = 1024 * 1024;
+constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
 constexpr const char* writer_member = "written_by";
 
 // Nothing when the text is not a JSON object.
@@ -178,10 +178,11 @@
         failure.may_have_taken_effect = uncertain;
         if (!uncertain) co_return failure;
         std::optional<store_write_result> settled;
-        if (request.written_by.empty())
+        if (request.written_by.empty()) {
             settled = co_await settle_deletion(request);
-        else
+        } else {
             settled = co_await settle(request);
+        }
         if (settled) co_return std::move(*settled);
         if (monotonic_now() + options_.retry_pause >= deadline) co_return failure;
         pause.expires_after(std::chrono::milliseconds(options_.retry_pause.count));
