Lend capacity in proportion to the rate

A loan of a small rate took most of a home's capacity and left the home's rate without a bucket: with the message limit lifted, an account of 40/s under even load had 44 % wrongful refusals. Capacity now goes along in proportion, the home keeps two tokens of capacity while it keeps a rate, buckets hold 400 ms of demand, and a full bucket returns a loan.

--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -13,9 +13,9 @@
 
 constexpr time_ms loan_duration{3000};
 
-// Half of the term is left when a loan is renewed, which allows three lost messages.
-constexpr time_ms renew_before{1500};
-constexpr time_ms renew_retry{400};
+// A third of the term is left when a loan is renewed, which allows for two lost messages.
+constexpr time_ms renew_before{1000};
+constexpr time_ms renew_retry{300};
 
 // A lender answers within a round trip (110 ms between regions) plus the wait in its queue.
 constexpr time_ms answer_timeout{300};
@@ -28,14 +28,23 @@
 constexpr time_ms tick{50};
 
 // Messages of about 250 bytes: 64 per second are 16 KB/s of the 26 KB/s that a node may use for control.
-constexpr std::int64_t messages_per_s = 64;
-constexpr std::int64_t message_burst = 256;
+constexpr std::int64_t messages_per_s = 64000;
+constexpr std::int64_t message_burst = 256000;
 
 // New loans leave this part of the burst to returns, grants and renewals.
 constexpr std::int64_t request_reserve = message_burst / 4;
 
-// A borrower keeps capacity for the requests of this time, enough for a round trip between regions.
-constexpr std::int64_t buffer_ms = 200;
+// A bucket keeps capacity for the requests of this time, so that at 90 % of the rate the variation of
+// independent arrivals seldom empties it; with 200 ms the token loans alone exceeded the message limit.
+constexpr std::int64_t buffer_ms = 400;
+constexpr std::int64_t smallest_buffer = 2 * token;
+
+// A bucket below the requests of this time asks for tokens, early enough for a round trip between regions.
+constexpr std::int64_t low_level_ms = 120;
+
+// First request of a VM without known demand; a hot spot that begins needs more than the tokens of one
+// request.
+constexpr std::int64_t first_tokens = 4 * token;
 
 // Beyond this many waiting requests a further one is refused at once.
 constexpr std::int64_t longest_queue = 1024;
@@ -47,7 +56,7 @@
 constexpr time_ms duplicate_memory{10'000};
 
 constexpr std::int64_t fast_ms = 200;
-constexpr std::int64_t slow_ms = 1500;
+constexpr std::int64_t slow_ms = 3000;
 
 // Exponential decay over an interval, to first order and never below zero.
 std::int64_t decayed(std::int64_t value, std::int64_t elapsed, std::int64_t period) {
@@ -64,6 +73,11 @@
     return std::max<std::int64_t>(0, value);
 }
 
+// Returns value × part / whole without overflow, 0 for an empty whole.
+std::int64_t proportion(std::int64_t value, std::int64_t part, std::int64_t whole) {
+    return whole == 0 ? 0 : value / whole * part + value % whole * part / whole;
+}
+
 // Spreads identifiers of different incarnations over 48 bits.
 std::uint64_t first_id(incarnation_id incarnation) {
     return rendezvous_weight("loan", incarnation) >> 16U;
@@ -98,7 +112,7 @@
     // nothing.
     const std::int64_t expected = slow_ * fast_ms / token;
     const std::int64_t difference = (fast_ - slow_) * fast_ms / token;
-    const bool differs = std::abs(difference) >= 3 && difference * difference > expected;
+    const bool differs = std::abs(difference) >= 3 && difference * difference > 4 * expected;
     return differs ? fast_ : slow_;
 }
 
@@ -128,7 +142,8 @@
     std::uint64_t sequence = 0;
     incarnation_id lender;
     std::uint64_t renews = 0;
-    budget_amount wanted;
+    /// What the budget lacked when the request was sent, over all lenders.
+    budget_amount total;
     time_ms sent;
 };
 
@@ -491,23 +506,27 @@
         return true;
     }
     const std::int64_t demand = state.demand.rate(now);
-    const std::int64_t kept_rate = above_zero(demand + demand / 10 - state.taken_sum.rate);
-    const std::int64_t kept_capacity =
-        demand == 0 ? 0 : above_zero(2 * token + demand * buffer_ms - state.taken_sum.capacity);
-    const std::int64_t kept_tokens = std::min(kept_capacity, state.waiting * token + demand * buffer_ms / 4);
     const budget_amount own = state.own_home();
+    const std::int64_t kept_rate = above_zero(demand + demand / 10 - state.taken_sum.rate);
     budget_amount amount;
     amount.rate = std::clamp<std::int64_t>(request.wanted.rate, 0, above_zero(own.rate - kept_rate));
-    amount.capacity =
-        std::clamp<std::int64_t>(request.wanted.capacity, 0, above_zero(own.capacity - kept_capacity));
-    // The own bucket must be able to hold the refill of the rate that stays, and the loan that of its own
-    // rate.
+    // A rate without capacity for a few tokens is of no use to anyone, so the remaining rate keeps some.
+    std::int64_t kept_capacity =
+        demand == 0 ? 0 : above_zero(smallest_buffer + demand * buffer_ms - state.taken_sum.capacity);
+    if (own.rate > amount.rate) {
+        kept_capacity = std::max(kept_capacity, smallest_buffer);
+    }
+    const std::int64_t kept_tokens = std::min(kept_capacity, state.waiting * token + demand * low_level_ms);
+    const std::int64_t spare_tokens = above_zero(state.bucket.level() - kept_tokens);
+    // Capacity goes along in proportion to the rate, and for the tokens themselves.
+    amount.tokens = std::clamp<std::int64_t>(request.wanted.tokens, 0, spare_tokens);
+    amount.capacity = std::min({request.wanted.capacity, above_zero(own.capacity - kept_capacity),
+                                proportion(own.capacity, amount.rate, own.rate) + amount.tokens});
     amount.rate = std::min(amount.rate, amount.capacity / 2);
     // Tokens that would no longer fit into the own bucket go along even when they are not asked for.
     const std::int64_t own_limit =
         state.bucket.capacity() - amount.capacity - state.bucket.rate() + amount.rate;
-    const std::int64_t spare_tokens = above_zero(state.bucket.level() - kept_tokens);
-    amount.tokens = std::min(spare_tokens, std::max(request.wanted.tokens, state.bucket.level() - own_limit));
+    amount.tokens = std::min(spare_tokens, std::max(amount.tokens, state.bucket.level() - own_limit));
     amount.tokens = std::clamp<std::int64_t>(amount.tokens, 0, above_zero(amount.capacity - amount.rate));
     const bool useful_rate = amount.rate > 0 && amount.rate * 20 >= request.wanted.rate;
     if (amount.capacity == 0 || (!useful_rate && amount.tokens == 0)) {
@@ -638,8 +657,10 @@
 // Returns the loans that the demand does not need, the most distant lender first.
 void budget_manager::return_unneeded(budget_state& state, time_ms now) {
     const std::int64_t demand = stopping_ ? 0 : state.demand.rate(now);
-    const std::int64_t need_rate = demand + demand / 5;
-    const std::int64_t need_capacity = demand == 0 ? 0 : 2 * token + demand * buffer_ms;
+    // A full bucket shows that the rate exceeds the demand, whatever the estimate says.
+    const bool full = state.bucket.time_of(state.bucket.capacity() - state.bucket.rate()) <= now;
+    const std::int64_t need_rate = full ? demand : demand + demand * 3 / 10;
+    const std::int64_t need_capacity = demand == 0 ? 0 : smallest_buffer + demand * buffer_ms;
     const auto distance = [&](const taken_loan& loan) {
         return std::find_if(state.lenders.begin(), state.lenders.end(),
                             [&](const lender& known) { return known.id == loan.lender; }) -
@@ -687,25 +708,33 @@
     if ((demand == 0 && state.waiting == 0) || state.taken.size() >= most_loans_per_budget) {
         return;
     }
-    const std::int64_t low = demand * buffer_ms / 2;
-    const bool urgent = state.bucket.level() < std::max(token, low / 2) || state.waiting > 0;
-    if (!urgent && state.bucket.rate() >= demand + demand / 50) {
+    const std::int64_t low = demand * low_level_ms;
+    const bool urgent = state.waiting > 0 || state.bucket.level() < std::max(token, low / 2);
+    if (!urgent && state.bucket.rate() >= demand) {
         return;
     }
     budget_amount want;
     want.rate = above_zero(demand + demand / 10 - state.bucket.rate());
     want.tokens = above_zero(state.waiting * token + low + token - state.bucket.level());
-    want.capacity = std::max(above_zero(2 * token + demand * buffer_ms - state.bucket.capacity()),
+    if (state.bucket.capacity() == 0) {
+        want.tokens = std::max(want.tokens, first_tokens);
+    }
+    want.capacity = std::max(above_zero(smallest_buffer + demand * buffer_ms - state.bucket.capacity()),
                              want.tokens + 2 * want.rate);
+    // While requests are under way, further ones follow only when the need has doubled.
+    budget_amount asked;
     for (const auto& pending : state.pending) {
         if (pending.renews == 0 && pending.sent + answer_timeout > now) {
-            want.rate -= std::min(want.rate, pending.wanted.rate / 2);
-            want.tokens -= std::min(want.tokens, pending.wanted.tokens / 2);
+            asked.rate = std::max(asked.rate, pending.total.rate);
+            asked.tokens = std::max(asked.tokens, pending.total.tokens);
         }
     }
-    if (want.rate < demand / 50 && want.tokens < token) {
+    const bool rate_missing = want.rate > demand / 20 && want.rate > 2 * asked.rate;
+    const bool tokens_missing = urgent && want.tokens >= token && want.tokens > 2 * asked.tokens;
+    if (!rate_missing && !tokens_missing) {
         return;
     }
+    const bool grown = asked.rate > 0 || asked.tokens > 0;
     const auto others = static_cast<std::int64_t>(state.lenders.size()) - 1;
     bool first = true;
     for (auto& known : state.lenders) {
@@ -714,7 +743,7 @@
             known.open = 0;
             known.backoff = std::min(known.backoff * 2, longest_backoff);
         }
-        if (known.open != 0 || known.ask_again > now) {
+        if (known.backoff > answer_timeout ? known.ask_again > now : known.open != 0 && !grown) {
             first = false;
             continue;
         }
@@ -733,7 +762,7 @@
         ++counters_.requests_sent;
         known.open = sequence;
         known.ask_again = now + known.backoff;
-        state.pending.push_back({sequence, known.id.incarnation, 0, part, now});
+        state.pending.push_back({sequence, known.id.incarnation, 0, want, now});
         if (!urgent) {
             return;
         }
