--- a/src/bench/budget_world.h
+++ b/src/bench/budget_world.h
@@ -59,7 +59,7 @@
             std::function<void(admission)> done;
         };
         std::map<std::string, std::deque<waiting_request>> waiting;
-        time_ms wakeup = never;
+        time_ms wakeup = far_future;
         std::uint64_t messages = 0;
         std::uint64_t bytes = 0;
     };
@@ -243,7 +243,7 @@
             transmit(index, action);
         }
         const time_ms due = machine.manager->next_wakeup();
-        if (due == never) {
+        if (due == far_future) {
             return;
         }
         const time_ms wait{std::max<std::int64_t>(1, (due - local(machine)).count)};
@@ -345,7 +345,7 @@
             schedule(machine.wakeup, [this, index, at_time = machine.wakeup] { wake(index, at_time); });
             return;
         }
-        machine.wakeup = never;
+        machine.wakeup = far_future;
         machine.manager->on_tick(local(machine));
         collect(index);
     }
--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -32,8 +32,8 @@
 constexpr time_ms tick{50};
 
 // Messages of about 250 bytes: 64 per second are 16 KB/s of the 26 KB/s that a node may use for control.
-constexpr std::int64_t messages_per_s = 64000;
-constexpr std::int64_t message_burst = 256000;
+constexpr std::int64_t messages_per_s = 64;
+constexpr std::int64_t message_burst = 256;
 
 // New loans leave this part of the burst to returns, grants and renewals.
 constexpr std::int64_t request_reserve = message_burst / 4;
@@ -196,8 +196,8 @@
     std::size_t next_lender = 0;
 
     std::int64_t waiting = 0;
-    time_ms next_event = never;
-    time_ms wake = never;
+    time_ms next_event = far_future;
+    time_ms wake = far_future;
     bool ready = false;
 
     [[nodiscard]] budget_amount own_home() const {
@@ -234,7 +234,7 @@
 void budget_manager::apply_limits(budget_state& state) const {
     const budget_amount own = state.own_home();
     state.bucket.set_limits(own.rate + state.taken_sum.rate, own.capacity + state.taken_sum.capacity);
-    state.next_event = never;
+    state.next_event = far_future;
     if (state.home) {
         state.next_event =
             std::min(state.next_event, state.home_usable ? state.lease_expiry : state.usable_from);
@@ -625,7 +625,7 @@
     state->bucket.add(std::clamp<std::int64_t>(message.tokens, 0, amount.capacity));
     serve_queued(*state, now);
     notify(*state);
-    schedule(*state, std::min(state->next_event, state->demand.rate(now) > 0 ? now + tick : never));
+    schedule(*state, std::min(state->next_event, state->demand.rate(now) > 0 ? now + tick : far_future));
 }
 
 void budget_manager::serve_queued(budget_state& state, time_ms now) {
@@ -812,7 +812,7 @@
 void budget_manager::on_tick(time_ms now) {
     while (!timers_.empty() && timers_.begin()->first <= now) {
         auto& state = *timers_.begin()->second;
-        schedule(state, never);
+        schedule(state, far_future);
         settle(state, now);
         drive(state, now);
     }
@@ -830,17 +830,17 @@
 }
 
 void budget_manager::schedule(budget_state& state, time_ms wake) {
-    if (state.wake != never) {
+    if (state.wake != far_future) {
         timers_.erase({state.wake, &state});
     }
     state.wake = wake;
-    if (wake != never) {
+    if (wake != far_future) {
         timers_.emplace(wake, &state);
     }
 }
 
 time_ms budget_manager::next_wakeup() const {
-    return timers_.empty() ? never : timers_.begin()->first;
+    return timers_.empty() ? far_future : timers_.begin()->first;
 }
 
 std::vector<send_action> budget_manager::take_actions() {
--- a/src/coordination/budget_manager.h
+++ b/src/coordination/budget_manager.h
@@ -115,7 +115,7 @@
     /// @brief Returns all loans, gives no new ones and refuses all requests; for a graceful stop.
     void stop(time_ms now);
 
-    /// @brief Time at which on_tick() is due; `never` when all budgets are idle.
+    /// @brief Time at which on_tick() is due; `far_future` when all budgets are idle.
     [[nodiscard]] time_ms next_wakeup() const;
 
     /// @brief Fetches the messages to send.
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -127,6 +127,13 @@
     std::int64_t tokens = 0;
 };
 
+/// @brief Hand-over of home roles between the VMs of a zone after a VM has joined.
+struct home_handover {
+    /// The sender has joined and asks whether the receiver still holds budgets of which it is the home now;
+    /// otherwise the sender states that it holds none.
+    bool request = false;
+};
+
 /// @brief Asks the VM to which a request id is bound what became of the id.
 struct once_query {
     std::uint64_t sequence = 0;
@@ -140,8 +147,9 @@
     once_outcome outcome = once_outcome::unknown;
 };
 
-using peer_payload = std::variant<ping, ack, ping_request, object_events, object_pull, object_snapshot,
-                                  loan_request, loan_grant, loan_return, once_query, once_reply>;
+using peer_payload =
+    std::variant<ping, ack, ping_request, object_events, object_pull, object_snapshot, loan_request,
+                 loan_grant, loan_return, home_handover, once_query, once_reply>;
 
 /// @brief A message between two processes.
 struct peer_message {
--- a/src/coordination/token_bucket.cpp
+++ b/src/coordination/token_bucket.cpp
@@ -74,7 +74,7 @@
         return updated_;
     }
     if (rate_ == 0 || tokens > limit()) {
-        return never;
+        return far_future;
     }
     const std::int64_t missing = (tokens - level_) * 100;
     const std::int64_t per_ms = rate_ * refill_percent;
--- a/src/coordination/token_bucket.h
+++ b/src/coordination/token_bucket.h
@@ -37,7 +37,7 @@
     bool take(std::int64_t tokens);
 
     /// @brief Time at which the level reaches the given tokens without further changes.
-    /// @return time_ms::max-like value (never) when the limits do not allow it.
+    /// @return far_future when the limits do not allow it.
     [[nodiscard]] time_ms time_of(std::int64_t tokens) const;
 
     [[nodiscard]] std::int64_t rate() const { return rate_; }
@@ -57,6 +57,6 @@
 };
 
 /// @brief A time that no clock reaches.
-inline constexpr time_ms never{INT64_MAX / 4};
+inline constexpr time_ms far_future{INT64_MAX / 4};
 
 } // namespace lacewing
