--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -1,6 +1,7 @@
 #include "coordination/budget_manager.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <deque>
 #include <utility>
 
@@ -12,18 +13,22 @@
 
 constexpr time_ms loan_duration{3000};
 
-// Half of the term is left when a loan is renewed, which allows three lost messages.
-constexpr time_ms renew_before{1500};
-constexpr time_ms renew_retry{400};
+// A third of the term is left when a loan is renewed, which allows for two lost messages.
+constexpr time_ms renew_before{1000};
+constexpr time_ms renew_retry{300};
 
-// A lender answers within a round trip (110 ms between regions) plus the wait in its queue.
-constexpr time_ms answer_timeout{300};
-constexpr time_ms longest_backoff{2400};
+// A round trip between regions takes 110 ms; a lender that has not answered by then has nothing at the
+// moment.
+constexpr time_ms answer_timeout{130};
+constexpr time_ms longest_backoff{1040};
 
 // A request that finds nothing to lend waits this long at the lender for a return.
 constexpr time_ms lender_queue_time{200};
 constexpr std::size_t lender_queue_length = 64;
 
+// Tokens that go back this long before the expiry reach a lender in another region in time.
+constexpr time_ms return_before{300};
+
 constexpr time_ms tick{50};
 
 // Messages of about 250 bytes: 64 per second are 16 KB/s of the 26 KB/s that a node may use for control.
@@ -33,8 +38,17 @@
 // New loans leave this part of the burst to returns, grants and renewals.
 constexpr std::int64_t request_reserve = message_burst / 4;
 
-// A borrower keeps capacity for the requests of this time, enough for a round trip between regions.
-constexpr std::int64_t buffer_ms = 200;
+// A bucket keeps capacity for the requests of this time, so that at 90 % of the rate the variation of
+// independent arrivals seldom empties it; with 200 ms the token loans alone exceeded the message limit.
+constexpr std::int64_t buffer_ms = 400;
+constexpr std::int64_t smallest_buffer = 2 * token;
+
+// A bucket below the requests of this time asks for tokens, early enough for a round trip between regions.
+constexpr std::int64_t low_level_ms = 120;
+
+// First request of a VM without known demand; a hot spot that begins needs more than the tokens of one
+// request.
+constexpr std::int64_t first_tokens = 4 * token;
 
 // Beyond this many waiting requests a further one is refused at once.
 constexpr std::int64_t longest_queue = 1024;
@@ -46,7 +60,7 @@
 constexpr time_ms duplicate_memory{10'000};
 
 constexpr std::int64_t fast_ms = 200;
-constexpr std::int64_t slow_ms = 2000;
+constexpr std::int64_t slow_ms = 3000;
 
 // Exponential decay over an interval, to first order and never below zero.
 std::int64_t decayed(std::int64_t value, std::int64_t elapsed, std::int64_t period) {
@@ -63,6 +77,11 @@
     return std::max<std::int64_t>(0, value);
 }
 
+// Returns value × part / whole without overflow, 0 for an empty whole.
+std::int64_t proportion(std::int64_t value, std::int64_t part, std::int64_t whole) {
+    return whole == 0 ? 0 : value / whole * part + value % whole * part / whole;
+}
+
 // Spreads identifiers of different incarnations over 48 bits.
 std::uint64_t first_id(incarnation_id incarnation) {
     return rendezvous_weight("loan", incarnation) >> 16U;
@@ -92,12 +111,13 @@
     if (now >= idle_at()) {
         return 0;
     }
-    // The slow average is the less noisy one; the fast one decides after a change of the load.
-    if (fast_ > slow_ + slow_ / 2) {
-        return fast_;
-    }
-    const bool many_arrivals = slow_ * fast_ms >= 16 * token;
-    return many_arrivals && fast_ < slow_ / 2 ? fast_ : slow_;
+    // The slow average is the less noisy one. The fast one decides when the two differ by more than 1.4
+    // standard deviations of a count of independent arrivals; below three arrivals the difference says
+    // nothing.
+    const std::int64_t expected = slow_ * fast_ms / token;
+    const std::int64_t difference = (fast_ - slow_) * fast_ms / token;
+    const bool differs = std::abs(difference) >= 3 && difference * difference > 4 * expected;
+    return differs ? fast_ : slow_;
 }
 
 time_ms demand_estimate::idle_at() const {
@@ -126,7 +146,8 @@
     std::uint64_t sequence = 0;
     incarnation_id lender;
     std::uint64_t renews = 0;
-    budget_amount wanted;
+    /// What the budget lacked when the request was sent, over all lenders.
+    budget_amount total;
     time_ms sent;
 };
 
@@ -134,6 +155,7 @@
     peer_id id;
     time_ms ask_again;
     time_ms backoff = answer_timeout;
+    int failures = 0;
     /// Sequence of the request that is not answered yet, 0 for none.
     std::uint64_t open = 0;
 };
@@ -170,10 +192,12 @@
     budget_amount taken_sum;
     std::vector<pending_request> pending;
     std::vector<lender> lenders;
+    /// Start of the next question for tokens, so that the lenders share the load.
+    std::size_t next_lender = 0;
 
     std::int64_t waiting = 0;
-    time_ms next_event = never;
-    time_ms wake = never;
+    time_ms next_event = far_future;
+    time_ms wake = far_future;
     bool ready = false;
 
     [[nodiscard]] budget_amount own_home() const {
@@ -210,7 +234,7 @@
 void budget_manager::apply_limits(budget_state& state) const {
     const budget_amount own = state.own_home();
     state.bucket.set_limits(own.rate + state.taken_sum.rate, own.capacity + state.taken_sum.capacity);
-    state.next_event = never;
+    state.next_event = far_future;
     if (state.home) {
         state.next_event =
             std::min(state.next_event, state.home_usable ? state.lease_expiry : state.usable_from);
@@ -364,7 +388,7 @@
         if (same != state.lenders.end()) {
             updated.push_back(*same);
         } else {
-            updated.push_back({std::move(id), time_ms{}, answer_timeout, 0});
+            updated.push_back({std::move(id), time_ms{}, answer_timeout, 0, 0});
         }
     }
     state.lenders = std::move(updated);
@@ -456,6 +480,7 @@
     });
     if (state->queue.size() < lender_queue_length) {
         state->queue.push_back({from, request, now + lender_queue_time});
+        schedule(*state, std::min(state->wake, now + tick));
     }
 }
 
@@ -489,23 +514,27 @@
         return true;
     }
     const std::int64_t demand = state.demand.rate(now);
-    const std::int64_t kept_rate = above_zero(demand + demand / 10 - state.taken_sum.rate);
-    const std::int64_t kept_capacity =
-        demand == 0 ? 0 : above_zero(2 * token + demand * buffer_ms - state.taken_sum.capacity);
-    const std::int64_t kept_tokens = std::min(kept_capacity, state.waiting * token + demand * buffer_ms / 4);
     const budget_amount own = state.own_home();
+    const std::int64_t kept_rate = above_zero(demand + demand / 10 - state.taken_sum.rate);
     budget_amount amount;
     amount.rate = std::clamp<std::int64_t>(request.wanted.rate, 0, above_zero(own.rate - kept_rate));
-    amount.capacity =
-        std::clamp<std::int64_t>(request.wanted.capacity, 0, above_zero(own.capacity - kept_capacity));
-    // The own bucket must be able to hold the refill of the rate that stays, and the loan that of its own
-    // rate.
+    // A rate without capacity for a few tokens is of no use to anyone, so the remaining rate keeps some.
+    std::int64_t kept_capacity =
+        demand == 0 ? 0 : above_zero(smallest_buffer + demand * buffer_ms - state.taken_sum.capacity);
+    if (own.rate > amount.rate) {
+        kept_capacity = std::max(kept_capacity, smallest_buffer);
+    }
+    const std::int64_t kept_tokens = std::min(kept_capacity, state.waiting * token + demand * low_level_ms);
+    const std::int64_t spare_tokens = above_zero(state.bucket.level() - kept_tokens);
+    // Capacity goes along in proportion to the rate, and for the tokens themselves.
+    amount.tokens = std::clamp<std::int64_t>(request.wanted.tokens, 0, spare_tokens);
+    amount.capacity = std::min({request.wanted.capacity, above_zero(own.capacity - kept_capacity),
+                                proportion(own.capacity, amount.rate, own.rate) + amount.tokens});
     amount.rate = std::min(amount.rate, amount.capacity / 2);
     // Tokens that would no longer fit into the own bucket go along even when they are not asked for.
     const std::int64_t own_limit =
         state.bucket.capacity() - amount.capacity - state.bucket.rate() + amount.rate;
-    const std::int64_t spare_tokens = above_zero(state.bucket.level() - kept_tokens);
-    amount.tokens = std::min(spare_tokens, std::max(request.wanted.tokens, state.bucket.level() - own_limit));
+    amount.tokens = std::min(spare_tokens, std::max(amount.tokens, state.bucket.level() - own_limit));
     amount.tokens = std::clamp<std::int64_t>(amount.tokens, 0, above_zero(amount.capacity - amount.rate));
     const bool useful_rate = amount.rate > 0 && amount.rate * 20 >= request.wanted.rate;
     if (amount.capacity == 0 || (!useful_rate && amount.tokens == 0)) {
@@ -545,6 +574,7 @@
         if (known.open == answered.sequence) {
             known.open = 0;
             known.backoff = answer_timeout;
+            known.failures = 0;
             known.ask_again = now;
         }
     }
@@ -595,7 +625,7 @@
     state->bucket.add(std::clamp<std::int64_t>(message.tokens, 0, amount.capacity));
     serve_queued(*state, now);
     notify(*state);
-    schedule(*state, std::min(state->next_event, state->demand.rate(now) > 0 ? now + tick : never));
+    schedule(*state, std::min(state->next_event, state->demand.rate(now) > 0 ? now + tick : far_future));
 }
 
 void budget_manager::serve_queued(budget_state& state, time_ms now) {
@@ -636,8 +666,10 @@
 // Returns the loans that the demand does not need, the most distant lender first.
 void budget_manager::return_unneeded(budget_state& state, time_ms now) {
     const std::int64_t demand = stopping_ ? 0 : state.demand.rate(now);
-    const std::int64_t need_rate = demand + demand / 5;
-    const std::int64_t need_capacity = demand == 0 ? 0 : 2 * token + demand * buffer_ms;
+    // A full bucket shows that the rate exceeds the demand, whatever the estimate says.
+    const bool full = state.bucket.time_of(state.bucket.capacity() - state.bucket.rate()) <= now;
+    const std::int64_t need_rate = full ? demand : demand + demand * 3 / 10;
+    const std::int64_t need_capacity = demand == 0 ? 0 : smallest_buffer + demand * buffer_ms;
     const auto distance = [&](const taken_loan& loan) {
         return std::find_if(state.lenders.begin(), state.lenders.end(),
                             [&](const lender& known) { return known.id == loan.lender; }) -
@@ -653,7 +685,10 @@
             const std::int64_t capacity_left = state.bucket.capacity() - loan.amount.capacity;
             const bool capacity_spare = capacity_left >= need_capacity ||
                                         (loan.amount.rate == 0 && capacity_left >= state.bucket.level());
-            if (rate_spare && capacity_spare && (worst == nullptr || distance(loan) > distance(*worst))) {
+            // A loan without rate is not renewed; its tokens would be lost at the expiry.
+            const bool ends = loan.amount.rate == 0 && loan.expiry <= now + return_before;
+            if ((ends || (rate_spare && capacity_spare)) &&
+                (worst == nullptr || distance(loan) > distance(*worst))) {
                 worst = &loan;
             }
         }
@@ -685,34 +720,48 @@
     if ((demand == 0 && state.waiting == 0) || state.taken.size() >= most_loans_per_budget) {
         return;
     }
-    const std::int64_t low = demand * buffer_ms / 2;
-    const bool urgent = state.bucket.level() < std::max(token, low / 2) || state.waiting > 0;
-    if (!urgent && state.bucket.rate() >= demand + demand / 50) {
+    const std::int64_t low = demand * low_level_ms;
+    // Waiting requests justify a question to all lenders, a low level one to a single lender.
+    const bool urgent = state.waiting > 0 || state.bucket.level() < token + low;
+    if (!urgent && state.bucket.rate() >= demand) {
         return;
     }
     budget_amount want;
     want.rate = above_zero(demand + demand / 10 - state.bucket.rate());
-    want.tokens = above_zero(state.waiting * token + low + token - state.bucket.level());
-    want.capacity = std::max(above_zero(2 * token + demand * buffer_ms - state.bucket.capacity()),
+    want.tokens = above_zero(state.waiting * token + 2 * (low + token) - state.bucket.level());
+    if (state.bucket.capacity() == 0) {
+        want.tokens = std::max(want.tokens, first_tokens);
+    }
+    want.capacity = std::max(above_zero(smallest_buffer + demand * buffer_ms - state.bucket.capacity()),
                              want.tokens + 2 * want.rate);
+    // While requests are under way, further ones follow only when the need has doubled.
+    budget_amount asked;
     for (const auto& pending : state.pending) {
         if (pending.renews == 0 && pending.sent + answer_timeout > now) {
-            want.rate -= std::min(want.rate, pending.wanted.rate / 2);
-            want.tokens -= std::min(want.tokens, pending.wanted.tokens / 2);
+            asked.rate = std::max(asked.rate, pending.total.rate);
+            asked.tokens = std::max(asked.tokens, pending.total.tokens);
         }
     }
-    if (want.rate < demand / 50 && want.tokens < token) {
+    const bool rate_missing = want.rate > demand / 20 && want.rate > 2 * asked.rate;
+    const bool tokens_missing = urgent && want.tokens >= token && want.tokens > 2 * asked.tokens;
+    if (!rate_missing && !tokens_missing) {
         return;
     }
+    const bool grown = asked.rate > 0 || asked.tokens > 0;
     const auto others = static_cast<std::int64_t>(state.lenders.size()) - 1;
+    const std::size_t count = state.lenders.size();
+    const std::size_t start = rate_missing || count == 0 ? 0 : state.next_lender++ % count;
     bool first = true;
-    for (auto& known : state.lenders) {
+    for (std::size_t i = 0; i < count; ++i) {
+        auto& known = state.lenders[(start + i) % count];
         if (known.open != 0 && known.ask_again <= now) {
             // No answer: the lender has nothing, is unreachable, or a message was lost.
             known.open = 0;
-            known.backoff = std::min(known.backoff * 2, longest_backoff);
+            ++known.failures;
+            known.backoff =
+                known.failures < 4 ? answer_timeout : std::min(known.backoff * 2, longest_backoff);
         }
-        if (known.open != 0 || known.ask_again > now) {
+        if (known.backoff > answer_timeout ? known.ask_again > now : known.open != 0 && !grown) {
             first = false;
             continue;
         }
@@ -731,8 +780,8 @@
         ++counters_.requests_sent;
         known.open = sequence;
         known.ask_again = now + known.backoff;
-        state.pending.push_back({sequence, known.id.incarnation, 0, part, now});
-        if (!urgent) {
+        state.pending.push_back({sequence, known.id.incarnation, 0, want, now});
+        if (state.waiting == 0) {
             return;
         }
         first = false;
@@ -744,6 +793,7 @@
     state.demand.decay(now);
     std::erase_if(state.pending, [&](const auto& pending) { return pending.sent + loan_duration <= now; });
     return_unneeded(state, now);
+    serve_queued(state, now);
     renew(state, now);
     if (!stopping_) {
         borrow(state, now);
@@ -752,7 +802,8 @@
     time_ms wake = state.next_event;
     if (state.waiting > 0) {
         wake = std::min({wake, now + tick, std::max(now + time_ms{1}, state.bucket.time_of(token))});
-    } else if (!state.taken.empty() || state.demand.rate(now) > 0 || !state.pending.empty()) {
+    } else if (!state.taken.empty() || state.demand.rate(now) > 0 || !state.pending.empty() ||
+               !state.queue.empty()) {
         wake = std::min(wake, now + tick);
     }
     schedule(state, wake);
@@ -761,7 +812,7 @@
 void budget_manager::on_tick(time_ms now) {
     while (!timers_.empty() && timers_.begin()->first <= now) {
         auto& state = *timers_.begin()->second;
-        schedule(state, never);
+        schedule(state, far_future);
         settle(state, now);
         drive(state, now);
     }
@@ -779,17 +830,17 @@
 }
 
 void budget_manager::schedule(budget_state& state, time_ms wake) {
-    if (state.wake != never) {
+    if (state.wake != far_future) {
         timers_.erase({state.wake, &state});
     }
     state.wake = wake;
-    if (wake != never) {
+    if (wake != far_future) {
         timers_.emplace(wake, &state);
     }
 }
 
 time_ms budget_manager::next_wakeup() const {
-    return timers_.empty() ? never : timers_.begin()->first;
+    return timers_.empty() ? far_future : timers_.begin()->first;
 }
 
 std::vector<send_action> budget_manager::take_actions() {
