--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -53,6 +53,12 @@
         }
         contact_seeds(out);
     }
+    if (second_pull_ && now >= *second_pull_) {
+        second_pull_.reset();
+        for (const auto& peer : random_members(1, self_.id.incarnation)) {
+            out.push_back({peer, member_pull{self_}});
+        }
+    }
     advance_probe(now, out);
     if (now >= next_probe_ && !probe_) {
         start_probe(now, out);
@@ -123,9 +129,8 @@
     // A ping without updates asks for a short answer, unless the sender must learn how it is seen.
     const auto known = table_.find(message.from.incarnation);
     const bool trusted_sender = known != table_.end() && known->second.record.state == member_state::alive;
-    if (!payload.probe.updates.empty() || !trusted_sender) {
-        answer.probe.updates = updates_for(message.from.incarnation);
-    }
+    const bool repair = !payload.probe.updates.empty() || !trusted_sender;
+    answer.probe.updates = updates_for(message.from.incarnation, repair ? settings_.repair_updates : 0);
     out.push_back({message.from, std::move(answer)});
 }
 
@@ -147,7 +152,7 @@
         }
         ack answer;
         answer.probe.sequence = relay->second.sequence;
-        answer.probe.updates = updates_for(relay->second.origin.incarnation);
+        answer.probe.updates = updates_for(relay->second.origin.incarnation, settings_.repair_updates);
         out.push_back({relay->second.origin, std::move(answer)});
         relayed_.erase(relay);
         return;
@@ -187,7 +192,7 @@
     relayed_[++sequence_] = {message.from, payload.sequence, payload.target.incarnation, now};
     ping probe;
     probe.probe.sequence = sequence_;
-    probe.probe.updates = updates_for(payload.target.incarnation);
+    probe.probe.updates = updates_for(payload.target.incarnation, settings_.repair_updates);
     out.push_back({payload.target, std::move(probe)});
 }
 
@@ -224,6 +229,7 @@
     }
     if (status_ == membership_status::joining) {
         status_ = membership_status::member;
+        second_pull_ = now + settings_.second_pull_delay;
         announce_self();
     }
     merge(payload.members, now, false);
@@ -338,7 +344,7 @@
 
 // Up to max_updates records: what concerns the recipient, this process, the newest changes, then some for
 // repair.
-std::vector<member_record> membership::updates_for(incarnation_id recipient) {
+std::vector<member_record> membership::updates_for(incarnation_id recipient, std::size_t repair) {
     std::vector<member_record> updates;
     if (const auto known = table_.find(recipient);
         known != table_.end() && known->second.record.state != member_state::alive) {
@@ -369,8 +375,7 @@
     }
     std::erase_if(news_, [&](auto id) { return remaining(id) == 0; });
     const auto& all = members();
-    for (std::size_t i = 0;
-         i < settings_.repair_updates && !all.empty() && updates.size() < settings_.max_updates; ++i) {
+    for (std::size_t i = 0; i < repair && !all.empty() && updates.size() < settings_.max_updates; ++i) {
         const auto& id = all[repair_position_++ % all.size()].incarnation;
         const auto known = table_.find(id);
         if (known != table_.end() && id != recipient) {
@@ -387,12 +392,14 @@
     });
 }
 
-send_action membership::make_ping(const peer_id& target, time_ms now, bool with_updates) {
+std::vector<member_record> membership::take_news() {
+    return updates_for({}, 0);
+}
+
+send_action membership::make_ping(const peer_id& target, time_ms now, bool repair) {
     ping probe;
     probe.probe.sequence = ++sequence_;
-    if (with_updates) {
-        probe.probe.updates = updates_for(target.incarnation);
-    }
+    probe.probe.updates = updates_for(target.incarnation, repair ? settings_.repair_updates : 0);
     outstanding_[sequence_] = {target, now};
     return {target, std::move(probe)};
 }
@@ -458,8 +465,8 @@
     }
     probe_->indirect = true;
     for (const auto& helper : random_members(settings_.indirect_probes, probe_->target.incarnation)) {
-        out.push_back(
-            {helper, ping_request{probe_->sequence, probe_->target, updates_for(helper.incarnation)}});
+        out.push_back({helper, ping_request{probe_->sequence, probe_->target,
+                                            updates_for(helper.incarnation, settings_.repair_updates)}});
     }
 }
 
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -22,6 +22,9 @@
     time_ms pause_limit{5000};
     /// Time without any answer after which a joining process considers itself the only member.
     time_ms join_timeout{3000};
+    /// A new member asks for the table again after this time: when many start together, the first table is
+    /// partial.
+    time_ms second_pull_delay{5000};
     /// Period of contacts with seeds, hinted addresses and dead members, which ends a split after a
     /// partition.
     time_ms hint_interval{5000};
@@ -64,8 +67,12 @@
     /// incarnation.
     void rejoin(incarnation_id incarnation, time_ms now);
     /// @brief A ping outside the probe schedule, for a caller that needs the peer's answer.
-    /// @param with_updates False for frequent pings; the answer then carries no updates either.
-    [[nodiscard]] send_action make_ping(const peer_id& target, time_ms now, bool with_updates = true);
+    /// @param repair False for frequent pings: they carry changes only, and without any, so does the answer.
+    [[nodiscard]] send_action make_ping(const peer_id& target, time_ms now, bool repair = true);
+    /// @brief The most recent changes, for a message of another kind.
+    [[nodiscard]] std::vector<member_record> take_news();
+    /// @brief Merges changes that came with a message of another kind.
+    void merge_news(const std::vector<member_record>& records, time_ms now) { merge(records, now, true); }
     /// @brief Whether a ping to the target was sent within the last probe interval and not answered yet.
     [[nodiscard]] bool awaits_ack(incarnation_id target, time_ms now) const;
     /// @brief Time at which this process sent the ping that the message answers.
@@ -129,7 +136,7 @@
     void announce(entry& member);
     void announce_self();
     [[nodiscard]] unsigned transmission_limit() const;
-    std::vector<member_record> updates_for(incarnation_id recipient);
+    std::vector<member_record> updates_for(incarnation_id recipient, std::size_t repair);
     void start_probe(time_ms now, std::vector<send_action>& out);
     void advance_probe(time_ms now, std::vector<send_action>& out);
     void fail_probe(time_ms now);
@@ -161,6 +168,7 @@
     time_ms next_probe_;
     time_ms next_hint_;
     time_ms next_pull_;
+    std::optional<time_ms> second_pull_;
     mutable bool lists_valid_ = false;
     mutable std::vector<peer_id> members_;
     mutable std::map<zone_name, std::vector<peer_id>> zone_members_;
--- a/src/coordination/object_replica.cpp
+++ b/src/coordination/object_replica.cpp
@@ -274,7 +274,7 @@
         send_snapshot(to, out);
         return;
     }
-    object_events answer{after, held_, {}, self_, 1, 0, report};
+    object_events answer{after, held_, {}, self_, 1, 0, report, {}};
     std::size_t bytes = 0;
     const auto first = std::upper_bound(log_.begin(), log_.end(), after,
                                         [](revision_id r, const object_event& e) { return r < e.revision; });
@@ -339,8 +339,10 @@
     assemblies_.erase(message.from.incarnation);
 }
 
-void object_replica::push(const freshness_report& report, replica_actions& out) {
-    object_events message{pushed_, held_, {}, self_, 0, std::numeric_limits<std::uint64_t>::max(), report};
+void object_replica::push(const freshness_report& report, std::vector<member_record> updates,
+                          replica_actions& out) {
+    object_events message{
+        pushed_, held_, {}, self_, 0, std::numeric_limits<std::uint64_t>::max(), report, std::move(updates)};
     std::size_t bytes = 0;
     for (auto event = log_.rbegin(); event != log_.rend() && event->revision > pushed_; ++event) {
         bytes += size_of(*event);
--- a/src/coordination/object_replica.h
+++ b/src/coordination/object_replica.h
@@ -103,7 +103,8 @@
     /// @brief Handles the result of a store call; results of calls that timed out are ignored.
     std::optional<store_confirmation> receive(const store_result& result, time_ms now);
     /// @brief Sends a message with the evidence, and all events not yet sent, through the tree of the zone.
-    void push(const freshness_report& report, replica_actions& out);
+    /// @param updates Membership changes to send along.
+    void push(const freshness_report& report, std::vector<member_record> updates, replica_actions& out);
     /// @brief Whether events have arrived that this watcher has to push.
     [[nodiscard]] bool push_due() const { return watcher_ && pushed_ < held_; }
     /// @brief Outcome of the newest finished store call; nothing before the first.
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -105,6 +105,8 @@
     std::uint64_t range_begin = 1;
     std::uint64_t range_end = 0;
     freshness_report freshness;
+    /// Membership changes known to the origin.
+    std::vector<member_record> updates;
 };
 
 /// @brief Asks for the events after the revision that the sender holds.
--- a/src/coordination/spread_node.cpp
+++ b/src/coordination/spread_node.cpp
@@ -68,6 +68,9 @@
     } else {
         if (const auto* events = std::get_if<object_events>(&message.payload)) {
             const bool for_us = message.to == self().incarnation;
+            if (for_us) {
+                members_.merge_news(events->updates, now);
+            }
             if (for_us && freshness_.note_report(events->origin.incarnation, events->freshness, now)) {
                 urgent_ = true;
             }
@@ -153,7 +156,7 @@
 void spread_node::pulse(time_ms now, replica_actions& out) {
     last_pulse_ = now;
     urgent_ = false;
-    replica_.push(freshness_.report(now, false), out);
+    replica_.push(freshness_.report(now, false), members_.take_news(), out);
     ++pulses_;
     for (const auto& watchers : foreign_watchers_) {
         out.sends.push_back(members_.make_ping(watchers[pulses_ % watchers.size()], now, false));
@@ -173,7 +176,7 @@
         if (since >= settings_.pulse || (urgent_ && since >= settings_.min_pulse)) {
             pulse(now, out);
         } else if (replica_.push_due()) {
-            replica_.push(freshness_.report(now, false), out);
+            replica_.push(freshness_.report(now, false), members_.take_news(), out);
         }
     }
     for (auto& action : out.sends) {
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -100,6 +100,7 @@
     a("range_begin", v.range_begin);
     a("range_end", v.range_end);
     a("freshness", v.freshness);
+    a("updates", v.updates);
 }
 
 template <class Archive>
--- /dev/null
+++ b/tests/fake_fleet.h
@@ -0,0 +1,261 @@
+#pragma once
+
+#include "coordination/spread_node.h"
+#include "fake_network.h"
+#include "protocol/peer_codec.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewing::test {
+
+/// @brief A store in virtual time: one history of revisions, watches, and faults of its answers.
+struct fake_object_store {
+    std::vector<object_event> history;
+    bool outage = false;
+    time_ms delay{5};
+    /// Per mille of answers that are lost.
+    unsigned loss = 0;
+    /// Upper bound of an additional random delay, which reorders answers.
+    std::uint64_t extra_delay = 0;
+
+    [[nodiscard]] revision_id revision() const { return {history.size()}; }
+
+    revision_id write(const std::string& key, const std::optional<std::string>& value) {
+        const revision_id next{history.size() + 1};
+        history.push_back({key, next, value ? std::make_shared<const std::string>(*value) : nullptr});
+        return next;
+    }
+
+    [[nodiscard]] store_result list(std::uint64_t call) const {
+        std::map<std::string, object_event> current;
+        for (const auto& event : history) {
+            current[event.key] = event;
+        }
+        store_result result{call, store_outcome::success, revision(), {}};
+        for (const auto& [key, event] : current) {
+            if (!event.deleted()) {
+                result.events.push_back(event);
+            }
+        }
+        return result;
+    }
+
+    [[nodiscard]] store_result events_after(std::uint64_t call, revision_id after) const {
+        const auto first = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(after.value, history.size()));
+        return {call, store_outcome::success, revision(), {history.begin() + first, history.end()}};
+    }
+};
+
+/// @brief A handful of VMs in zones a, b, …, driven in virtual time. Each VM's clock has another offset.
+class fake_fleet {
+public:
+    struct vm {
+        std::size_t number = 0;
+        peer_id id;
+        std::unique_ptr<spread_node> node;
+        bool running = true;
+        bool paused = false;
+        bool store_cut = false;
+        time_ms next_tick;
+    };
+
+    fake_fleet(std::size_t zone_count, std::size_t vms_per_zone, std::uint64_t seed)
+        : network(seed + 1), random_(seed) {
+        for (std::size_t z = 0; z < zone_count; ++z) {
+            zones.push_back({std::string(1, static_cast<char>('a' + z))});
+        }
+        for (std::size_t i = 0; i < zone_count * vms_per_zone; ++i) {
+            auto& added = vms.emplace_back();
+            added.number = i;
+            added.id = {{"vm" + std::to_string(100 + i)}, zones[i % zone_count], address(i), {}};
+            start(i);
+        }
+    }
+
+    static std::string address(std::size_t number) { return "10.0.0." + std::to_string(number) + ":7000"; }
+    [[nodiscard]] std::size_t number_of(const std::string& text) const {
+        for (const auto& each : vms) {
+            if (each.id.address == text) {
+                return each.number;
+            }
+        }
+        return vms.size();
+    }
+
+    /// @brief Starts a process, with a new incarnation and without any state.
+    void start(std::size_t number) {
+        auto& each = vms[number];
+        each.id.incarnation = {random_() | 1U};
+        spread_settings settings;
+        settings.membership.seeds = {address(0), address(1), address(2)};
+        each.node =
+            std::make_unique<spread_node>(each.id, each.id.address, settings, random_(), clock(number));
+        each.running = true;
+        each.paused = false;
+        each.next_tick = now;
+    }
+
+    [[nodiscard]] time_ms clock(std::size_t number) const {
+        return now + time_ms{static_cast<std::int64_t>(number) * 1'000'003};
+    }
+    [[nodiscard]] spread_node& node(std::size_t number) const { return *vms[number].node; }
+    [[nodiscard]] key_verdict verdict(std::size_t number) const {
+        return node(number).verdict(clock(number), zones);
+    }
+    [[nodiscard]] bool active(std::size_t number) const { return vms[number].running && !vms[number].paused; }
+    /// @brief Whether a VM lists exactly the given number of members.
+    [[nodiscard]] bool lists(std::size_t number, std::size_t members) const {
+        return node(number).members().members().size() == members;
+    }
+
+    /// @brief Cuts messages in both directions between two sides of the fleet.
+    void split(const std::function<bool(std::size_t)>& side) {
+        network.cut = [this, side](const std::string& from, const std::string& to) {
+            return side(number_of(from)) != side(number_of(to));
+        };
+    }
+
+    void run(time_ms span, const std::function<void()>& check = {}) {
+        const auto end = now + span;
+        while (now < end) {
+            step();
+            if (check) {
+                check();
+            }
+        }
+    }
+
+    /// @brief Runs until the condition holds.
+    /// @return The time taken, or nothing after the limit.
+    template <class Condition>
+    std::optional<time_ms> run_until(time_ms limit, Condition condition) {
+        const auto begin = now;
+        while (now - begin <= limit) {
+            if (condition()) {
+                return now - begin;
+            }
+            step();
+        }
+        return std::nullopt;
+    }
+
+    /// @brief Runs until every running VM has the store's revision and lists all running VMs.
+    std::optional<time_ms> settle(time_ms limit = time_ms{30'000}) {
+        return run_until(limit, [&] {
+            const auto count = static_cast<std::size_t>(
+                std::count_if(vms.begin(), vms.end(), [](const auto& each) { return each.running; }));
+            return std::all_of(vms.begin(), vms.end(), [&](const auto& each) {
+                return !each.running ||
+                       (each.node->replica().revision() == store.revision() && lists(each.number, count) &&
+                        verdict(each.number) == key_verdict::fresh);
+            });
+        });
+    }
+
+    time_ms now{1'000};
+    fake_network network;
+    fake_object_store store;
+    std::vector<zone_name> zones;
+    std::vector<vm> vms;
+    /// Passes each message through its text form.
+    bool encode = false;
+    /// Rejoins fenced processes, as the daemon does.
+    bool rejoin_fenced = true;
+    std::uint64_t sent_messages = 0;
+
+private:
+    struct pending_call {
+        std::size_t vm;
+        incarnation_id incarnation;
+        std::uint64_t call;
+        bool list;
+        revision_id after;
+        time_ms due;
+        time_ms watch_end;
+    };
+
+    void step() {
+        now += time_ms{5};
+        network.deliver(now, [&](const std::string& to, const peer_message& message) {
+            const auto number = number_of(to);
+            if (number < vms.size() && active(number)) {
+                act(number, node(number).receive(message, clock(number)));
+            }
+        });
+        answer_store_calls();
+        for (auto& each : vms) {
+            if (!active(each.number) || now < each.next_tick) {
+                continue;
+            }
+            each.next_tick = now + time_ms{50};
+            act(each.number, each.node->tick(clock(each.number)));
+            const bool fenced = each.node->members().status(clock(each.number)) == membership_status::fenced;
+            if (fenced && rejoin_fenced) {
+                each.id.incarnation = {random_() | 1U};
+                each.node->rejoin(each.id.incarnation, clock(each.number));
+            }
+        }
+    }
+
+    void act(std::size_t number, replica_actions actions) {
+        for (auto& action : actions.sends) {
+            peer_message message{node(number).self(), action.to.incarnation, std::move(action.payload)};
+            ++sent_messages;
+            if (encode) {
+                message = decoder_.decode(encode_peer_message(message));
+            }
+            network.send(action.to.address, message, now);
+        }
+        for (const auto& action : actions.store_calls) {
+            pending_call call{number, node(number).self().incarnation, 0, false, {}, now + store.delay, now};
+            if (store.extra_delay > 0) {
+                call.due += time_ms{static_cast<std::int64_t>(random_() % store.extra_delay)};
+            }
+            if (const auto* list = std::get_if<store_list>(&action)) {
+                call.call = list->call;
+                call.list = true;
+            } else {
+                const auto& watch = std::get<store_watch>(action);
+                call.call = watch.call;
+                call.after = watch.after;
+                call.watch_end = now + time_ms{500};
+            }
+            calls_.push_back(call);
+        }
+    }
+
+    // Answers calls that are due; a watch waits for events. A call in an outage or behind a cut fails.
+    void answer_store_calls() {
+        for (std::size_t i = 0; i < calls_.size();) {
+            const auto call = calls_[i];
+            const bool unreachable = store.outage || vms[call.vm].store_cut;
+            const bool waiting = !unreachable && call.after == store.revision() && now < call.watch_end;
+            if (now < call.due || waiting) {
+                ++i;
+                continue;
+            }
+            calls_.erase(calls_.begin() + static_cast<std::ptrdiff_t>(i));
+            if (!active(call.vm) || node(call.vm).self().incarnation != call.incarnation) {
+                continue;
+            }
+            if (store.loss != 0 && random_() % 1000 < store.loss) {
+                continue;
+            }
+            auto result = call.list ? store.list(call.call) : store.events_after(call.call, call.after);
+            if (unreachable) {
+                result = {call.call, store_outcome::unreachable, {}, {}};
+            }
+            act(call.vm, node(call.vm).receive(result, clock(call.vm)));
+        }
+    }
+
+    std::mt19937_64 random_;
+    std::vector<pending_call> calls_;
+    peer_decoder decoder_;
+};
+
+} // namespace lacewing::test
--- /dev/null
+++ b/tests/spread_test.cpp
@@ -0,0 +1,382 @@
+#include "fake_fleet.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace lacewing;
+using lacewing::test::fake_fleet;
+
+namespace {
+
+constexpr time_ms second{1000};
+
+bool all_hold(const fake_fleet& fleet, revision_id revision) {
+    return std::all_of(fleet.vms.begin(), fleet.vms.end(), [&](const auto& vm) {
+        return !fleet.active(vm.number) || vm.node->replica().revision() >= revision;
+    });
+}
+
+bool serves(key_verdict verdict) {
+    return verdict == key_verdict::fresh || verdict == key_verdict::serve_under_outage_policy;
+}
+
+} // namespace
+
+TEST_CASE("a configuration change that some VM does not receive within 2 s") {
+    fake_fleet fleet(3, 4, 1);
+    fleet.encode = true;
+    fleet.store.write("config/current", "{}");
+    REQUIRE(fleet.settle());
+    for (int i = 0; i < 20; ++i) {
+        const auto revision = fleet.store.write("config/current", std::to_string(i));
+        const auto taken = fleet.run_until(second * 2, [&] { return all_hold(fleet, revision); });
+        REQUIRE(taken);
+        CHECK(*fleet.node(7).replica().objects().at("config/current").value == std::to_string(i));
+        CHECK(fleet.node(7).replica().take_changed_keys() == std::vector<std::string>{"config/current"});
+        fleet.run(time_ms{130});
+    }
+}
+
+// The first probe of the dead VM comes after a random time (a geometric distribution with a mean near 1 s),
+// then 1 s of probing, 5 s of suspicion and the spread of the verdict follow.
+TEST_CASE("a VM dies and stays listed as alive") {
+    std::vector<time_ms> times;
+    for (std::uint64_t seed = 1; seed <= 9; ++seed) {
+        fake_fleet fleet(3, 4, seed);
+        REQUIRE(fleet.settle());
+        fleet.vms[5].running = false;
+        const auto taken = fleet.run_until(second * 15, [&] {
+            return std::all_of(fleet.vms.begin(), fleet.vms.end(),
+                               [&](const auto& vm) { return !vm.running || fleet.lists(vm.number, 11); });
+        });
+        REQUIRE(taken);
+        CHECK(*taken > second * 5);
+        times.push_back(*taken);
+        fleet.start(5);
+        CHECK(fleet.settle(second * 10));
+    }
+    std::sort(times.begin(), times.end());
+    MESSAGE("all VMs know after ms: median " << times[4].count << ", maximum " << times.back().count);
+    CHECK(times[4] <= second * 9);
+}
+
+TEST_CASE("a VM is killed and restarted on its address before anybody suspects it") {
+    fake_fleet fleet(2, 3, 3);
+    REQUIRE(fleet.settle());
+    const auto old = fleet.vms[4].id.incarnation;
+    fleet.start(4);
+    REQUIRE(fleet.run_until(second * 10, [&] {
+        const auto* record = fleet.node(3).members().find(old);
+        return record != nullptr && record->state == member_state::dead;
+    }));
+    CHECK(fleet.settle(second * 10));
+}
+
+TEST_CASE("a VM pauses and acts under its old incarnation after it wakes") {
+    fake_fleet fleet(2, 3, 4);
+    fleet.rejoin_fenced = false;
+    REQUIRE(fleet.settle());
+    const auto old = fleet.node(4).self().incarnation;
+    fleet.vms[4].paused = true;
+    fleet.run(second * 12);
+    // The first instruction after the pause is a use, before any timer or message.
+    fleet.vms[4].paused = false;
+    CHECK(fleet.node(4).members().status(fleet.clock(4)) == membership_status::fenced);
+    CHECK(fleet.verdict(4) == key_verdict::stale);
+    const auto sent = fleet.node(4).tick(fleet.clock(4));
+    CHECK(sent.sends.empty());
+    CHECK(sent.store_calls.empty());
+    fleet.run(second);
+    CHECK(fleet.node(4).members().status(fleet.clock(4)) == membership_status::fenced);
+    fleet.rejoin_fenced = true;
+    REQUIRE(fleet.settle(second * 20));
+    CHECK(fleet.node(4).self().incarnation != old);
+    CHECK(fleet.node(0).members().find(old)->state == member_state::dead);
+}
+
+TEST_CASE("a VM that was declared dead while it ran keeps acting") {
+    fake_fleet fleet(2, 3, 5);
+    REQUIRE(fleet.settle());
+    const auto old = fleet.node(5).self().incarnation;
+    fleet.split([](std::size_t vm) { return vm == 5; });
+    fleet.run(second * 15);
+    CHECK(fleet.lists(0, 5));
+    fleet.network.cut = {};
+    REQUIRE(fleet.settle(second * 40));
+    CHECK(fleet.node(5).self().incarnation != old);
+}
+
+TEST_CASE("a short pause makes a VM declare its peers dead") {
+    fake_fleet fleet(2, 3, 6);
+    REQUIRE(fleet.settle());
+    fleet.vms[2].paused = true;
+    fleet.run(second * 3);
+    fleet.vms[2].paused = false;
+    const auto before = fleet.node(2).self().incarnation;
+    fleet.run(second * 15, [&] { CHECK(fleet.lists(0, 6)); });
+    CHECK(fleet.node(2).self().incarnation == before);
+}
+
+TEST_CASE("a one-way cut between two VMs makes one of them dead") {
+    fake_fleet fleet(2, 3, 7);
+    REQUIRE(fleet.settle());
+    fleet.network.cut = [](const std::string& from, const std::string& to) {
+        return from == fake_fleet::address(1) && to == fake_fleet::address(4);
+    };
+    fleet.run(second * 60, [&] {
+        CHECK(fleet.lists(0, 6));
+        CHECK(fleet.lists(4, 6));
+    });
+}
+
+TEST_CASE("a leaving VM is still chosen, or its exit takes until its detection") {
+    fake_fleet fleet(2, 3, 8);
+    REQUIRE(fleet.settle());
+    fleet.node(3).members().leave();
+    const auto without = [&](std::size_t vm) { return fleet.lists(vm, 5); };
+    REQUIRE(fleet.run_until(second * 5, [&] { return without(0) && without(1) && without(5); }));
+    fleet.run(second * 20);
+    CHECK(fleet.node(0).members().find(fleet.vms[3].id.incarnation)->state == member_state::leaving);
+}
+
+TEST_CASE("a zone without its peers refuses keys by the outage policy instead of the partition policy") {
+    fake_fleet fleet(3, 3, 9);
+    REQUIRE(fleet.settle());
+    const auto in_zone_b = [](std::size_t vm) { return vm % 3 == 1; };
+    fleet.split(in_zone_b);
+    fleet.run(second * 10);
+    // Its watchers still reach the store.
+    CHECK(fleet.verdict(1) == key_verdict::fresh);
+    for (const std::size_t vm : {1U, 4U, 7U}) {
+        fleet.vms[vm].store_cut = true;
+    }
+    const auto revision = fleet.store.write("keys/x", "{}");
+    fleet.run(time_ms{3500});
+    fleet.run(second * 20, [&] {
+        CHECK(fleet.verdict(1) == key_verdict::serve_under_partition_policy);
+        CHECK(fleet.verdict(4) == key_verdict::serve_under_partition_policy);
+        CHECK(fleet.verdict(0) == key_verdict::fresh);
+    });
+    CHECK(fleet.node(1).replica().revision() < revision);
+    CHECK(fleet.node(0).replica().revision() == revision);
+}
+
+TEST_CASE("a zone without the store misses changes that its peers know") {
+    fake_fleet fleet(3, 3, 10);
+    REQUIRE(fleet.settle());
+    for (const std::size_t vm : {1U, 4U, 7U}) {
+        fleet.vms[vm].store_cut = true;
+    }
+    fleet.run(second * 5);
+    for (int i = 0; i < 10; ++i) {
+        const auto revision = fleet.store.write("keys/x", std::to_string(i));
+        REQUIRE(fleet.run_until(second * 3, [&] { return all_hold(fleet, revision); }));
+        fleet.run(second, [&] {
+            for (std::size_t vm = 0; vm < 9; ++vm) {
+                CHECK(serves(fleet.verdict(vm)));
+            }
+        });
+    }
+}
+
+TEST_CASE("a store outage is taken for a partition, or for freshness beyond its bound") {
+    fake_fleet fleet(3, 3, 11);
+    REQUIRE(fleet.settle());
+    fleet.store.outage = true;
+    time_ms refused{0};
+    fleet.run(second * 30, [&] {
+        bool all = true;
+        for (std::size_t vm = 0; vm < 9; ++vm) {
+            all = all && serves(fleet.verdict(vm));
+        }
+        if (!all) {
+            refused += time_ms{5};
+        }
+    });
+    MESSAGE("refused at the start of the outage for ms: " << refused.count);
+    CHECK(refused <= time_ms{500});
+    for (std::size_t vm = 0; vm < 9; ++vm) {
+        CHECK(fleet.verdict(vm) == key_verdict::serve_under_outage_policy);
+    }
+    fleet.run(second * 880);
+    CHECK(fleet.verdict(0) == key_verdict::stale);
+    fleet.store.outage = false;
+    CHECK(fleet.settle(second * 10));
+}
+
+TEST_CASE("a restart during a store outage ends below the newest revision of its peers") {
+    fake_fleet fleet(2, 3, 12);
+    for (int i = 0; i < 5; ++i) {
+        fleet.store.write("keys/" + std::to_string(i), "{}");
+    }
+    REQUIRE(fleet.settle());
+    const auto newest = fleet.store.write("keys/0", std::nullopt);
+    REQUIRE(fleet.run_until(second * 2, [&] { return all_hold(fleet, newest); }));
+    fleet.store.outage = true;
+    fleet.run(second * 10);
+    fleet.start(4);
+    REQUIRE(fleet.run_until(second * 5, [&] { return fleet.node(4).replica().revision() == newest; }));
+    CHECK(fleet.node(4).replica().objects().at("keys/0").deleted());
+    CHECK(fleet.run_until(second * 5,
+                          [&] { return fleet.verdict(4) == key_verdict::serve_under_outage_policy; }));
+}
+
+TEST_CASE("store answers that are lost, late or out of order stop or revert the replica") {
+    fake_fleet fleet(2, 3, 13);
+    REQUIRE(fleet.settle());
+    fleet.store.loss = 300;
+    fleet.store.extra_delay = 2500;
+    std::vector<revision_id> held(6);
+    for (int i = 0; i < 50; ++i) {
+        fleet.store.write("keys/x", std::to_string(i));
+        fleet.run(time_ms{400}, [&] {
+            for (std::size_t vm = 0; vm < 6; ++vm) {
+                const auto revision = fleet.node(vm).replica().revision();
+                CHECK(revision >= held[vm]);
+                held[vm] = revision;
+            }
+        });
+    }
+    fleet.store.loss = 0;
+    fleet.store.extra_delay = 0;
+    CHECK(fleet.settle(second * 10));
+    CHECK(*fleet.node(3).replica().objects().at("keys/x").value == "49");
+}
+
+TEST_CASE("an old revision that arrives late is applied") {
+    fake_fleet fleet(1, 2, 14);
+    const auto first = fleet.store.write("keys/x", "old");
+    REQUIRE(fleet.settle());
+    const auto late_event = fleet.store.history.back();
+    const auto second_revision = fleet.store.write("keys/x", std::nullopt);
+    REQUIRE(fleet.run_until(second * 2, [&] { return all_hold(fleet, second_revision); }));
+    auto& node = fleet.node(0);
+    const auto from = fleet.vms[1].id;
+    const auto to = node.self().incarnation;
+    const object_events late{{0}, first, {late_event}, from, 1, 0, {}, {}};
+    (void)node.receive({from, to, late}, fleet.clock(0));
+    (void)node.receive({from, to, object_snapshot{first, 0, 1, {late_event}}}, fleet.clock(0));
+    // A claim to a revision far ahead without the events in between.
+    const object_events gap{{50}, {51}, {{"keys/x", {51}, late_event.value}}, from, 1, 0, {}, {}};
+    (void)node.receive({from, to, gap}, fleet.clock(0));
+    CHECK(node.replica().revision() == second_revision);
+    CHECK(node.replica().objects().at("keys/x").deleted());
+}
+
+TEST_CASE("evidence that was delayed on the way looks younger than it is") {
+    key_freshness freshness({"a"}, {});
+    const incarnation_id peer{7};
+    freshness.note_held({5});
+    freshness_report report;
+    report.clock = {500'000};
+    report.confirmed_revision = {5};
+    report.age = {100};
+    report.zones = {{{"b"}, {0}, {100}, false}};
+    (void)freshness.note_report(peer, report, {1000});
+    CHECK_FALSE(freshness.age({1000}));
+    // The peer's clock read 499,000 after our request at 1000, so 500,000 is no earlier than 1980 here.
+    freshness.note_round_trip(peer, {1000}, {499'000});
+    (void)freshness.note_report(peer, report, {9000});
+    REQUIRE(freshness.age({9000}));
+    CHECK(*freshness.age({9000}) == time_ms{9000 - 1980 + 100});
+    const std::vector<zone_name> zones{{"b"}};
+    CHECK(freshness.verdict({9000}, zones) == key_verdict::serve_under_partition_policy);
+    CHECK(freshness.verdict({4900}, zones) == key_verdict::serve_under_outage_policy);
+    // A confirmation of a revision that the replica lacks does not count.
+    freshness.note_confirmation({6}, {8900});
+    CHECK(*freshness.age({9000}) == time_ms{9000 - 1980 + 100});
+    freshness.note_held({6});
+    CHECK(*freshness.age({9000}) == time_ms{100});
+}
+
+TEST_CASE("the cost of a node grows with the fleet") {
+    const auto messages_per_node = [](std::size_t per_zone) {
+        fake_fleet fleet(3, per_zone, 15);
+        REQUIRE(fleet.settle());
+        const auto before = fleet.sent_messages;
+        fleet.run(second * 10);
+        return static_cast<double>(fleet.sent_messages - before) / static_cast<double>(3 * per_zone);
+    };
+    CHECK(messages_per_node(24) < messages_per_node(4) * 1.2);
+}
+
+// One seeded run with random faults; checks INV-3 and INV-11 throughout and convergence at the end.
+static void random_run(std::uint64_t seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    fake_fleet fleet(3, 3, seed);
+    fleet.encode = seed % 4 == 0;
+    fleet.store.write("keys/x", "{}");
+    REQUIRE(fleet.settle());
+    fleet.network.current = {time_ms{1}, time_ms{200}, 50, 50};
+    std::vector<revision_id> held(9);
+    std::vector<incarnation_id> incarnations(9);
+    // Time at which each revision was written.
+    std::map<revision_id, time_ms> written;
+    const auto check = [&] {
+        for (std::size_t vm = 0; vm < 9; ++vm) {
+            if (!fleet.active(vm)) {
+                continue;
+            }
+            const auto& node = fleet.node(vm);
+            if (incarnations[vm] != fleet.vms[vm].id.incarnation) {
+                held[vm] = {};
+            }
+            incarnations[vm] = fleet.vms[vm].id.incarnation;
+            REQUIRE(node.replica().revision() >= held[vm]);
+            held[vm] = node.replica().revision();
+            const auto next = written.upper_bound(held[vm]);
+            const bool misses_old = next != written.end() && fleet.now - next->second > second * 3;
+            if (misses_old && fleet.verdict(vm) == key_verdict::fresh) {
+                FAIL("fresh beyond 3 s, vm " << vm);
+            }
+        }
+    };
+    for (int episode = 0; episode < 12; ++episode) {
+        const auto vm = random() % 9;
+        switch (random() % 7) {
+        case 0:
+            fleet.vms[vm].running = false;
+            break;
+        case 1:
+            fleet.vms[vm].paused = true;
+            break;
+        case 2:
+            fleet.store.outage = !fleet.store.outage;
+            break;
+        case 3:
+            fleet.vms[vm].store_cut = !fleet.vms[vm].store_cut;
+            break;
+        case 4:
+            fleet.split([vm](std::size_t other) { return other % 3 == vm % 3; });
+            break;
+        case 5:
+            fleet.network.cut = {};
+            break;
+        default:
+            fleet.start(vm);
+            break;
+        }
+        for (int i = 0; i < 4; ++i) {
+            written[fleet.store.write("keys/" + std::to_string(random() % 3), std::to_string(random()))] =
+                fleet.now;
+            fleet.run(time_ms{static_cast<std::int64_t>(random() % 1500)}, check);
+        }
+    }
+    fleet.network.cut = {};
+    fleet.network.current = {};
+    fleet.store.outage = false;
+    for (auto& vm : fleet.vms) {
+        vm.store_cut = vm.paused = false;
+        if (!vm.running) {
+            fleet.start(vm.number);
+        }
+    }
+    CHECK(fleet.settle(second * 90));
+}
+
+TEST_CASE("a random sequence of faults reverts a replica, hides a revocation or prevents convergence") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        random_run(seed);
+    }
+}
