--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,26 @@
+#include "bench/bench.h"
+
+#include <CLI/CLI.hpp>
+
+#include <array>
+
+using namespace lacewing::bench;
+
+// Runs the experiment that is named on the command line.
+int main(int argc, char** argv) {
+    static constexpr std::array commands{
+        command{"lookup", "measure the client block table", run_lookup},
+        command{"routing", "measure the router and compare selection rules", run_routing},
+    };
+    CLI::App app{"lacewingplank experiments"};
+    app.require_subcommand(1);
+    std::uint64_t seed = 1;
+    int status = 0;
+    for (const auto& entry : commands) {
+        auto* sub = app.add_subcommand(entry.name, entry.summary);
+        sub->add_option("--seed", seed, "seed of all random choices");
+        sub->callback([&status, &seed, run = entry.run] { status = run(seed); });
+    }
+    CLI11_PARSE(app, argc, argv);
+    return status;
+}
--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -27,11 +27,19 @@
 // Below this distance to the median, a high factor is noise of a millisecond clock.
 constexpr double slow_min_ms = 10.0;
 constexpr double error_rate_limit = 0.4;
+// Keeps the product with the bandwidth far from overflow; a link in debt for longer than this stays so.
+constexpr time_ms max_refill = 3600_s;
 
 std::string key_of(std::string_view route, std::string_view name) {
     return fmt::format("{}/{}", route, name);
 }
 
+const zone* zone_named(const configuration& config, const zone_name& name) {
+    const auto found = std::find_if(config.zones.begin(), config.zones.end(),
+                                    [&](const zone& listed) { return listed.name == name; });
+    return found == config.zones.end() ? nullptr : &*found;
+}
+
 std::int32_t to_count(std::int64_t value) {
     return static_cast<std::int32_t>(std::clamp<std::int64_t>(value, 0, 1'000'000'000));
 }
@@ -69,7 +77,7 @@
 void router::update_regions(const configuration& config) {
     for (auto& state : regions_)
         state.capacity = 0;
-    const auto* own = config.find_zone(own_zone_.value);
+    const auto* own = zone_named(config, own_zone_);
     for (const auto& listed : config.regions) {
         auto found = std::find_if(regions_.begin(), regions_.end(),
                                   [&](const region_state& state) { return state.name == listed.name; });
@@ -86,7 +94,7 @@
 }
 
 std::uint32_t router::region_index(const configuration& config, const zone_name& name) const {
-    const auto* listed = config.find_zone(name.value);
+    const auto* listed = zone_named(config, name);
     for (std::uint32_t i = 0; listed != nullptr && i < regions_.size(); ++i) {
         if (regions_[i].name == listed->region) return i;
     }
@@ -100,7 +108,7 @@
     const auto before = std::find_if(earlier.begin(), earlier.end(),
                                      [&](const route_state& state) { return state.name == listed.name; });
     if (before != earlier.end()) built.latency = before->latency;
-    const auto* own = config.find_zone(own_zone_.value);
+    const auto* own = zone_named(config, own_zone_);
     std::vector<distance> distances(endpoints_.size() + listed.endpoints.size());
     for (const auto& item : listed.endpoints) {
         const auto index = slot_for(key_of(listed.name.value, item.name.value));
@@ -240,7 +248,7 @@
 
 void router::refill_link(time_ms now, region_state& state) {
     // At most one second's worth is saved up; more would put a burst above the bandwidth on the link.
-    const auto elapsed = std::clamp<std::int64_t>((now - state.link_time).count, 0, 1000);
+    const auto elapsed = std::clamp<std::int64_t>((now - state.link_time).count, 0, max_refill.count);
     state.link_milli_bytes =
         std::min(state.link_milli_bytes + state.link_rate * elapsed, state.link_rate * 1000);
     state.link_time = std::max(state.link_time, now);
@@ -411,7 +419,9 @@
         for (const auto index : group.endpoints) {
             auto& state = endpoints_[index];
             const bool slow = state.latency > slow_factor * median && state.latency > median + slow_min_ms;
-            const bool judged = state.samples >= min_ejection_samples && now >= state.ejected_until;
+            // An open breaker already stops the traffic and probes for recovery sooner.
+            const bool judged = state.samples >= min_ejection_samples && now >= state.ejected_until &&
+                                state.breaker.current() == circuit_breaker::state::closed;
             if (!judged || !(slow || state.error_rate > error_rate_limit)) continue;
             if ((ejected + 1) * ejected_part > in.endpoint_count) return;
             ++ejected;
--- a/src/state/block_table.cpp
+++ b/src/state/block_table.cpp
@@ -251,6 +251,7 @@
     for (const auto& name : sites.getMemberNames()) {
         auto& zones = set.sites[site_of(name)].zones;
         zones.clear();
+        if (!sites[name].isArray()) throw error(error_kind::bad_request, "blocks: zones must be a list");
         for (const auto& zone : sites[name]) {
             if (!zone.isString()) throw error(error_kind::bad_request, "blocks: a zone must be a string");
             zones.push_back({zone.asString()});
@@ -258,6 +259,7 @@
     }
     for (const auto& name : blocks.getMemberNames()) {
         const auto site = site_of(name);
+        if (!blocks[name].isArray()) throw error(error_kind::bad_request, "blocks: blocks must be a list");
         for (const auto& block : blocks[name]) {
             if (!block.isString()) throw error(error_kind::bad_request, "blocks: a block must be a string");
             set.blocks.push_back(parse_block(block.asString(), site));
--- a/src/state/block_table.h
+++ b/src/state/block_table.h
@@ -18,7 +18,8 @@
     std::uint64_t low = 0;
     bool v6 = false;
 
-    auto operator<=>(const ip_address&) const = default;
+    // clang-tidy 14 takes the zero of the generated comparison for a null pointer.
+    auto operator<=>(const ip_address&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// @brief Parses an IPv4 or IPv6 address in text form. An IPv4 address mapped into IPv6 becomes IPv4.
