--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -16,4 +16,10 @@
 /// @brief Compares policies for fleet-wide rate limits.
 int run_limits(std::uint64_t seed);
 
+/// @brief Measures look-ups and deltas of the client block table at target size.
+int run_lookup(std::uint64_t seed);
+
+/// @brief Measures the router and compares selection rules on one simulated load.
+int run_routing(std::uint64_t seed);
+
 } // namespace lacewing::bench
