--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -81,8 +81,9 @@
     const auto root = parse_json(to_json(config), "configuration");
     for (const auto& section : root.getMemberNames()) {
         for (const auto& item : root[section]) {
-            const auto name = item.isMember("name") ? item["name"].asString()
-                                                    : item["from"].asString() + "-" + item["to"].asString();
+            const auto name = item.isMember("name")
+                                  ? item["name"].asString()
+                                  : fmt::format("{}-{}", item["from"].asString(), item["to"].asString());
             items[section + "/" + name] = compact_json(item);
         }
     }
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -75,7 +75,7 @@
     const auto deadline = monotonic_now() + time_ms{options.wait_s * 1000LL};
     while (true) {
         auto report = evaluate_force(read_fleet(options), revision);
-        if (report.cut_off.empty() || monotonic_now() >= deadline) return report;
+        if (report.cut_off.empty() || monotonic_now().count >= deadline.count) return report;
         std::this_thread::sleep_for(poll_interval);
     }
 }
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -323,7 +323,9 @@
         bool found = false;
         for (int attempt = 0; attempt < first_lookup_attempts && !found; ++attempt) {
             found = co_await look_up(*from);
-            if (!found) co_await wait_until(steady_clock::now() + lookup_retry);
+            if (!found) {
+                co_await wait_until(steady_clock::now() + lookup_retry);
+            }
         }
         if (!found) throw std::runtime_error("no VM answers GET /v1/entry");
     }
--- /dev/null
+++ b/tests/ctl_test.cpp
@@ -0,0 +1,109 @@
+#include <utility>
+
+#include "ctl/fleet.h"
+#include "ctl/store_access.h"
+#include "fakes/store/store_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace lacewing;
+using namespace lacewing::ctl;
+
+namespace {
+
+// Fake store on its own thread, because store_access blocks.
+class running_store {
+public:
+    explicit running_store(const fakes::store_faults& faults)
+        : service_(loop_.get_executor(), "127.0.0.1:0", 7) {
+        service_.set_faults(faults);
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+    ~running_store() {
+        loop_.stop();
+        thread_.join();
+    }
+    running_store(const running_store&) = delete;
+    running_store& operator=(const running_store&) = delete;
+    running_store(running_store&&) = delete;
+    running_store& operator=(running_store&&) = delete;
+
+    [[nodiscard]] std::string address() const { return service_.address(); }
+
+private:
+    boost::asio::io_context loop_;
+    fakes::store_service service_;
+    std::thread thread_;
+};
+
+Json::Value object(const std::string& name) {
+    Json::Value value;
+    value["name"] = name;
+    return value;
+}
+
+Json::Value member(const std::string& vm, const std::string& state, std::uint64_t revision) {
+    Json::Value value;
+    value["vm"] = vm;
+    value["state"] = state;
+    value["revision"] = Json::UInt64(revision);
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("ctl store access: the loser of a race learns the winning revision") {
+    running_store store({});
+    store_access first(store.address());
+    store_access second(store.address());
+    const auto won = first.put("drains/a", object("first"), {});
+    REQUIRE(won.written);
+    const auto lost = second.put("drains/a", object("second"), {});
+    CHECK_FALSE(lost.written);
+    CHECK(lost.revision == won.revision);
+    CHECK(first.get("drains/a")->value["name"] == "first");
+    CHECK(first.list("drains/").size() == 1);
+    CHECK_FALSE(first.get("drains/b").has_value());
+}
+
+// Guards against a write that took effect and is reported as a conflict, or is applied twice.
+TEST_CASE("ctl store access: a write with a lost answer is recognised") {
+    fakes::store_faults faults;
+    faults.lose_answers = 1;
+    running_store store(faults);
+    store_access access(store.address());
+    const auto created = access.put("keys/a", object("one"), {});
+    REQUIRE(created.written);
+    const auto changed = access.put("keys/a", object("two"), created.revision);
+    CHECK(changed.written);
+    CHECK(changed.revision.value > created.revision.value);
+    CHECK(access.get("keys/a")->revision == changed.revision);
+}
+
+TEST_CASE("ctl store access: an outage is reported as such") {
+    fakes::store_faults faults;
+    faults.outage = true;
+    running_store store(faults);
+    store_access access(store.address());
+    CHECK_THROWS_AS(access.get("keys/a"), store_unreachable);
+    CHECK_THROWS_AS(access.put("keys/a", object("one"), {}), store_unreachable);
+}
+
+TEST_CASE("ctl fleet: in force, behind, left and unreachable VMs") {
+    fleet_view view;
+    Json::Value answer;
+    answer["vm"] = "vm-1";
+    answer["revision"] = 9;
+    answer["members"].append(member("vm-1", "suspect", 3));
+    answer["members"].append(member("vm-2", "alive", 8));
+    answer["members"].append(member("vm-3", "dead", 1));
+    answer["members"].append(member("vm-4", "suspect", 9));
+    merge_fleet(view, answer);
+    view.unreachable["127.0.0.1:1"] = "refused";
+    const auto report = evaluate_force(view, 9);
+    CHECK(report.in_force == std::vector<std::string>{"vm-1", "vm-4"});
+    CHECK(report.cut_off == std::vector<std::string>{"vm-2", "127.0.0.1:1"});
+}
