--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -338,8 +338,9 @@
         asio::co_spawn(loop_, keep_entries(*from), asio::detached);
     }
     if (options_.progress) asio::co_spawn(loop_, show_progress(), asio::detached);
-    while (offering_ > 0 || in_flight_ > 0)
+    while (offering_ > 0 || in_flight_ > 0) {
         co_await wait_until(steady_clock::now() + drain_poll);
+    }
     stopped_ = true;
     co_return result_;
 }
