Hold account rates and endpoint slots by roster entries

Cause: the daemon had no shares, so every VM could use every slot and no rate was limited. Change: home_control divides account rates and endpoint slots over zones and VMs by the rosters in the store; the serve thread confirms a reduction only once no endpoint exceeds it; peer messages carry hand-over and loan renewal. Conclusion: slots are divided statically inside a zone; slot loans are not built.

--- /dev/null
+++ b/src/coordination/home_control.cpp
@@ -0,0 +1,206 @@
+#include "coordination/home_control.h"
+
+#include "state/error_kind.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr std::string_view budget_prefix = "budget/";
+
+std::size_t index_of(const std::vector<zone_name>& zones, const zone_name& zone) {
+    return static_cast<std::size_t>(std::find(zones.begin(), zones.end(), zone) - zones.begin());
+}
+
+// Identifies a list of zones; processes that apply the same list get the same number.
+std::uint64_t layout_of(const std::vector<zone_name>& zones) {
+    std::string joined;
+    for (const auto& zone : zones)
+        joined += zone.value + "\n";
+    return rendezvous_weight(joined, incarnation_id{});
+}
+
+std::int64_t part_of(std::int64_t whole, std::size_t index, std::size_t zones) {
+    const auto count = static_cast<std::int64_t>(zones);
+    return whole / count + (static_cast<std::int64_t>(index) < whole % count ? 1 : 0);
+}
+
+} // namespace
+
+std::string account_budget(const account_name& name) {
+    return "account/" + name.value;
+}
+
+budget_amount zone_part(budget_amount whole, std::size_t index, std::size_t zones) {
+    if (index >= zones) return {};
+    return {part_of(whole.rate, index, zones), part_of(whole.capacity, index, zones), 0};
+}
+
+home_control::home_control(const peer_id& self, const std::string& boot_id)
+    : self_(self), roster_(self, boot_id) {}
+
+void home_control::update(const configuration& config) {
+    wholes_.clear();
+    for (const auto& account : config.accounts) {
+        const auto* plan = config.find_plan(account.plan.value);
+        if (plan == nullptr) continue;
+        // Micro-tokens per millisecond are thousandths of a request per second.
+        wholes_[account_budget(account.name)] = {plan->rate_per_s * 1000, plan->burst * 1'000'000, 0};
+    }
+    std::vector<zone_name> zones;
+    for (const auto& zone : config.zones)
+        zones.push_back(zone.name);
+    if (zones != zones_) {
+        earlier_zones_ = std::exchange(zones_, zones);
+        layout_ = layout_of(zones_);
+        layout_applied_ = false;
+        confirmation_due_ = true;
+        // A process without shares has nothing to reduce.
+        if (held_.empty() && !unconfirmed_) roster_.set_layout(layout_);
+    }
+    const auto* own = config.find_zone(self_.zone.value);
+    const auto distance = [&](const zone& other) {
+        if (other.name == self_.zone) return 0;
+        return own != nullptr && other.region == own->region ? 1 : 2;
+    };
+    auto ordered = config.zones;
+    std::stable_sort(ordered.begin(), ordered.end(),
+                     [&](const auto& a, const auto& b) { return distance(a) < distance(b); });
+    zones_by_distance_.clear();
+    for (const auto& zone : ordered)
+        zones_by_distance_.push_back(zone.name);
+}
+
+void home_control::observe(time_ms now, const object_event& object) {
+    if (!object.key.starts_with(budget_prefix)) return;
+    const auto zone = object.key.substr(budget_prefix.size());
+    if (zone == self_.zone.value) {
+        roster_.observe(now, object);
+        confirmation_due_ = true;
+    }
+    auto& held = rosters_[zone];
+    if (object.revision < held.revision) return;
+    held.revision = object.revision;
+    held.object = object.deleted() ? roster_object{} : parse_roster(*object.value);
+}
+
+void home_control::applied(const home_batch_applied& confirmation) {
+    if (confirmation.sequence != sequence_) return;
+    unconfirmed_ = false;
+    layout_applied_ = true;
+    clear_ = std::max(clear_, confirmation.clear);
+    if (!confirmation_due_) roster_.dropped(clear_);
+}
+
+std::optional<home_batch> home_control::refresh(time_ms now) {
+    if (zones_.empty() || unconfirmed_) return std::nullopt;
+    announce_layout(now);
+    home_batch batch;
+    for (const auto& [budget, whole] : wholes_) {
+        const auto term = leaving_ ? home_term{} : roster_.term(now, budget);
+        const home_update wanted{budget, term.home, term.home ? own_part(whole) : budget_amount{},
+                                 term.lease_expiry, term.usable_from};
+        const auto held = held_.find(budget);
+        const bool same = held == held_.end() ? !term.home : held->second == wanted;
+        if (!same) batch.homes.push_back(wanted);
+        auto lenders = lenders_of(budget);
+        if (lenders_[budget] == lenders) continue;
+        lenders_[budget] = lenders;
+        batch.lenders.push_back({budget, std::move(lenders)});
+    }
+    for (const auto& [budget, update] : held_) {
+        if (!wholes_.contains(budget)) batch.homes.push_back({budget, false, {}, {}, {}});
+    }
+    for (const auto& update : batch.homes) {
+        if (update.held) {
+            held_[update.budget] = update;
+        } else {
+            held_.erase(update.budget);
+        }
+    }
+    refresh_slots(now, batch);
+    if (batch.homes.empty() && batch.lenders.empty() && batch.slots.empty() && !confirmation_due_)
+        return std::nullopt;
+    confirmation_due_ = false;
+    batch.sequence = ++sequence_;
+    unconfirmed_ = true;
+    return batch;
+}
+
+// Divides the slots of the zone's endpoints: each slot is a budget of its own with one home.
+void home_control::refresh_slots(time_ms now, home_batch& batch) {
+    std::map<std::pair<std::string, std::string>, slot_update> wanted;
+    for (const auto& endpoint : zone_slots_) {
+        auto& share = wanted[{endpoint.route, endpoint.endpoint}];
+        share = {endpoint.route, endpoint.endpoint, 0, {}, {}};
+        for (std::int64_t slot = 0; slot < endpoint.slots && !leaving_; ++slot) {
+            const auto budget = fmt::format("slot/{}/{}/{}", endpoint.route, endpoint.endpoint, slot);
+            const auto term = roster_.term(now, budget);
+            if (!term.home) continue;
+            ++share.slots;
+            share.lease_expiry = term.lease_expiry;
+            share.usable_from = std::max(share.usable_from, term.usable_from);
+        }
+    }
+    for (const auto& [name, share] : wanted) {
+        if (held_slots_[name] != share) batch.slots.push_back(share);
+    }
+    for (const auto& [name, share] : held_slots_) {
+        if (!wanted.contains(name)) batch.slots.push_back({name.first, name.second, 0, {}, {}});
+    }
+    held_slots_ = std::move(wanted);
+}
+
+// Whether every VM that may hold shares divides budgets by the same list of zones as this one.
+bool home_control::layout_settled() const {
+    for (const auto& [zone, view] : rosters_) {
+        for (const auto& entry : view.object.entries) {
+            if (entry.layout != layout_) return false;
+        }
+    }
+    return true;
+}
+
+budget_amount home_control::own_part(const budget_amount& whole) const {
+    const auto part = zone_part(whole, index_of(zones_, self_.zone), zones_.size());
+    if (layout_settled()) return part;
+    const auto earlier = zone_part(whole, index_of(earlier_zones_, self_.zone), earlier_zones_.size());
+    return {std::min(part.rate, earlier.rate), std::min(part.capacity, earlier.capacity), 0};
+}
+
+// Announces the list of zones once the shares that follow from it are in force and older loans have run out.
+void home_control::announce_layout(time_ms now) {
+    if (layout_applied_ && now >= clear_) roster_.set_layout(layout_);
+}
+
+bool home_control::left() const {
+    const auto& entries = roster_.entries();
+    return std::none_of(entries.begin(), entries.end(),
+                        [&](const auto& entry) { return entry.id.incarnation == self_.incarnation; });
+}
+
+std::optional<conditional_write> home_control::next_write(time_ms now) {
+    if (zones_.empty()) return std::nullopt;
+    if (leaving_ && held_.empty() && !unconfirmed_ && now >= clear_) roster_.leave();
+    return roster_.next_write(now);
+}
+
+std::vector<peer_id> home_control::lenders_of(const std::string& budget) const {
+    std::vector<peer_id> lenders;
+    for (const auto& zone : zones_by_distance_) {
+        const auto found = rosters_.find(zone.value);
+        if (found == rosters_.end() || found->second.object.entries.empty()) continue;
+        const auto& entries = found->second.object.entries;
+        const auto home = std::max_element(entries.begin(), entries.end(), [&](const auto& a, const auto& b) {
+            return rendezvous_weight(budget, a.id.incarnation) < rendezvous_weight(budget, b.id.incarnation);
+        });
+        if (home->id.incarnation != self_.incarnation) lenders.push_back(home->id);
+    }
+    return lenders;
+}
+
+} // namespace lacewing
--- a/src/coordination/serving_snapshot.cpp
+++ b/src/coordination/serving_snapshot.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::string_view config_key = "config/current";
-constexpr std::string_view keys_prefix = "keys/";
 constexpr std::string_view drains_prefix = "drains/";
 constexpr std::string_view moves_prefix = "moves/";
 constexpr std::string_view blocks_prefix = "blocks/";
@@ -60,8 +59,9 @@
         const auto found = objects.find(std::string(config_key));
         if (found != objects.end() && !found->second.deleted()) read_config(found->second);
     }
-    if (any_with_prefix(changed, keys_prefix))
-        keys_ = std::make_shared<key_list>(keys_->updated(objects, changed));
+    if (!keys_ || any_with_prefix(changed, key_object_prefix)) {
+        read_keys(objects, changed);
+    }
     if (config_changed || any_with_prefix(changed, drains_prefix) || any_with_prefix(changed, moves_prefix)) {
         read_moves(objects);
     }
@@ -82,6 +82,21 @@
     }
 }
 
+// Applies the changed key objects; a malformed one leaves the keys of its account as they were.
+void snapshot_builder::read_keys(const object_map& objects, std::span<const std::string> changed) {
+    for (const auto& key : changed) {
+        const auto found = objects.find(key);
+        if (!key.starts_with(key_object_prefix) || found == objects.end()) continue;
+        try {
+            key_builder_.apply(found->second);
+            rejected_.erase(key);
+        } catch (const error& problem) {
+            rejected_[key] = {key, found->second.revision, problem.what()};
+        }
+    }
+    keys_ = key_builder_.build();
+}
+
 // Collects the drained endpoints and the shares of versions from all moves.
 void snapshot_builder::read_moves(const object_map& objects) {
     if (!config_) return;
--- a/src/coordination/serving_snapshot.h
+++ b/src/coordination/serving_snapshot.h
@@ -65,13 +65,15 @@
 
 private:
     void read_config(const object_event& object);
+    void read_keys(const object_map& objects, std::span<const std::string> changed);
     void read_moves(const object_map& objects);
     void read_blocks(const object_map& objects, revision_id revision);
     void drain_target(std::string_view kind, std::string_view name, std::vector<endpoint_name>& out) const;
 
     std::shared_ptr<const configuration> config_;
     revision_id config_revision_;
-    std::shared_ptr<const key_list> keys_ = std::make_shared<key_list>();
+    key_list_builder key_builder_;
+    std::shared_ptr<const key_list> keys_;
     std::vector<endpoint_name> drained_;
     std::vector<version_share> shares_;
     std::shared_ptr<const block_table> blocks_;
--- a/src/coordination/zone_roster.cpp
+++ b/src/coordination/zone_roster.cpp
@@ -84,7 +84,7 @@
 // Whether an entry is that of a predecessor of this process: the same boot of the host and the bound address
 // prove that the old process is gone.
 bool zone_roster::replaces(const roster_entry& entry) const {
-    return entry.id.incarnation != self_.incarnation && entry.boot_id == boot_id_ &&
+    return entry.id.incarnation != self_.incarnation && !boot_id_.empty() && entry.boot_id == boot_id_ &&
            entry.id.address == self_.address;
 }
 
@@ -162,7 +162,9 @@
     if (leaving_ && !joined_) {
         return std::nullopt;
     }
-    if (joined_ && !leaving_ && now < renew_at_ && !removes_for_others(now)) {
+    const auto* own = listed(self_.incarnation);
+    const bool layout_due = own != nullptr && own->layout != layout_;
+    if (joined_ && !leaving_ && now < renew_at_ && !layout_due && !removes_for_others(now)) {
         return std::nullopt;
     }
     ++renewal_;
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_thread.h"
 
+#include "transport/host.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
@@ -25,6 +26,8 @@
 // Time in which callers ask again for entry VMs before a leaving VM refuses them (design 4.10).
 constexpr std::chrono::milliseconds leave_notice{2000};
 constexpr std::chrono::milliseconds leave_poll{20};
+// Time for the loans given to run out and for the write that removes the roster entry.
+constexpr time_ms roster_removal_limit{6000};
 
 std::string write_json(const Json::Value& value) {
     Json::StreamWriterBuilder writer;
@@ -84,7 +87,8 @@
       input_(input_ring_entries, context_, [this](control_input input) { on_input(std::move(input)); }),
       link_(context_, {}, seed, [this](std::string_view text) { on_text(text); }),
       node_(self, caller_address, spread_settings_of(settings), seed, monotonic_now()),
-      store_(context_.get_executor(), settings.store, self.incarnation) {
+      store_(context_.get_executor(), settings.store, self.incarnation),
+      homes_(std::in_place, self, host_boot_id()), boot_id_(host_boot_id()) {
     link_.listen(settings.peer_listen);
 }
 
@@ -117,10 +121,13 @@
     asio::steady_timer timer(context_, leave_notice);
     co_await timer.async_wait(asio::use_awaitable);
     push(stop_stage::refusing);
+    homes_->leave();
+    // Without the store the entry cannot be removed; its lease then ends by itself.
+    const auto roster_limit = monotonic_now() + roster_removal_limit;
     do {
         timer.expires_after(leave_poll);
         co_await timer.async_wait(asio::use_awaitable);
-    } while (requests_in_flight_() > 0);
+    } while (requests_in_flight_() > 0 || (!homes_->left() && monotonic_now() < roster_limit));
     for (const auto& action : node_.members().announce_exit(monotonic_now()))
         send(action);
     // The links write in the background; the announcement is a courtesy, so a fixed time for it is enough.
@@ -161,6 +168,10 @@
         const auto message = decoder_.decode(text);
         const auto own = node_.self().incarnation;
         if (message.to.value != 0 && message.to != own) return;
+        if (const auto* handover = std::get_if<home_handover>(&message.payload)) {
+            homes_->roster().on_message(monotonic_now(), message.from, *handover);
+            return;
+        }
         if (concerns_serving(message.payload)) {
             push(message);
             return;
@@ -175,6 +186,7 @@
 
 void control_thread::on_input(control_input input) {
     if (const auto* action = std::get_if<send_action>(&input)) send(*action);
+    if (const auto* confirmation = std::get_if<home_batch_applied>(&input)) homes_->applied(*confirmation);
 }
 
 void control_thread::carry_out(replica_actions actions) {
@@ -215,10 +227,12 @@
 void control_thread::refresh_snapshot() {
     const auto changed = node_.replica().take_changed_keys();
     if (!node_.replica().complete()) return;
+    observe_rosters(changed);
     const auto before = builder_.config_revision();
     if (!builder_.update(node_.replica().objects(), changed, node_.replica().revision())) return;
     if (before != builder_.config_revision()) {
         log(log_level::info, "configuration_in_force", {{"revision", builder_.config_revision().value}});
+        homes_->update(*builder_.snapshot()->config);
         zones_.clear();
         for (const auto& zone : builder_.snapshot()->config->zones)
             zones_.push_back(zone.name);
@@ -232,8 +246,23 @@
     flush_pending();
 }
 
+void control_thread::observe_rosters(const std::vector<std::string>& changed) {
+    const auto now = monotonic_now();
+    for (const auto& key : changed) {
+        if (!key.starts_with("budget/")) continue;
+        try {
+            homes_->observe(now, node_.replica().objects().at(key));
+        } catch (const error& problem) {
+            log(log_level::error, "object_rejected", {{"key", key}, {"reason", problem.what()}});
+        }
+    }
+    const auto own = "budget/" + settings_.zone.value;
+    if (!node_.replica().objects().contains(own)) homes_->observe(now, {own, {}, nullptr});
+}
+
 void control_thread::flush_pending() {
     if (unsent_snapshot_ && to_serve_.push(unsent_snapshot_)) unsent_snapshot_.reset();
+    if (unsent_homes_ && to_serve_.push(*unsent_homes_)) unsent_homes_.reset();
 }
 
 // A full ring drops the entry: validity, entries and shares are sent again, messages are repeated by their
@@ -288,10 +317,27 @@
     (void)now;
 }
 
+// Keeps the roster entry of this VM and hands the shares that follow from it to the serve thread.
 void control_thread::refresh_budgets(time_ms now) {
-    const auto snapshot = builder_.snapshot();
-    if (!snapshot) return;
-    (void)now;
+    if (auto write = homes_->next_write(now))
+        asio::co_spawn(context_, write_roster(std::move(*write)), asio::detached);
+    for (const auto& action : homes_->roster().take_actions(now))
+        send(action);
+    if (unsent_homes_) return;
+    unsent_homes_ = homes_->refresh(now);
+    flush_pending();
+}
+
+asio::awaitable<void> control_thread::write_roster(conditional_write write) {
+    const auto result = co_await store_.put(write.key, write.value, write.expected);
+    const auto now = monotonic_now();
+    if (const auto* done = std::get_if<store_done>(&result)) {
+        homes_->observe(
+            now, {write.key, done->revision, std::make_shared<const std::string>(std::move(write.value))});
+    } else {
+        // The watch delivers the state that won.
+        homes_->roster().write_failed(now);
+    }
 }
 
 // A paused process may have been declared dead; it continues as a new one, without shares and evidence.
@@ -302,6 +348,13 @@
     log(log_level::warn, "fenced", {{"old", to_hex(node_.self().incarnation)}, {"new", to_hex(fresh)}});
     node_.rejoin(fresh, now);
     push(new_incarnation{node_.self()});
+    homes_.emplace(node_.self(), boot_id_);
+    unsent_homes_.reset();
+    if (builder_.snapshot()) homes_->update(*builder_.snapshot()->config);
+    std::vector<std::string> keys;
+    for (const auto& [key, object] : node_.replica().objects())
+        keys.push_back(key);
+    observe_rosters(keys);
 }
 
 std::string control_thread::readiness() const {
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/home_control.h"
 #include "coordination/serving_snapshot.h"
 #include "coordination/spread_node.h"
 #include "daemon/thread_messages.h"
@@ -54,6 +55,7 @@
     boost::asio::awaitable<void> tick_loop();
     boost::asio::awaitable<void> leave_steps(std::function<void()> finished);
     boost::asio::awaitable<void> call_store(store_action action);
+    boost::asio::awaitable<void> write_roster(conditional_write write);
     void tick();
     void on_text(std::string_view text);
     void on_input(control_input input);
@@ -61,6 +63,7 @@
     void send(const send_action& action);
     void push(serve_input input);
     void flush_pending();
+    void observe_rosters(const std::vector<std::string>& changed);
     void refresh_snapshot();
     void refresh_validity(time_ms now);
     void refresh_entries(time_ms now);
@@ -79,11 +82,14 @@
     spread_node node_;
     store_client store_;
     snapshot_builder builder_;
+    std::optional<home_control> homes_;
+    std::string boot_id_;
     std::vector<zone_name> zones_;
     bool leaving_ = false;
     time_ms next_entries_;
     // States that did not fit into the ring; the newest of each kind is kept and sent again.
     std::shared_ptr<const serving_snapshot> unsent_snapshot_;
+    std::optional<home_batch> unsent_homes_;
     std::uint64_t bad_messages_ = 0;
     std::thread thread_;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <CLI/CLI.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <future>
 #include <iostream>
@@ -65,6 +66,9 @@
     serve.stop();
     operators.stop();
     log(log_level::info, "stopped", {{"vm", settings.vm.value}});
+    // All requests have ended. Coroutines that still wait refer to the objects above, so these are not
+    // destroyed.
+    std::_Exit(0);
 }
 
 } // namespace
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -201,11 +202,12 @@
     const auto id = request.find("x-request-id");
     if (id != request.end()) current.request_id = std::string(id->value());
 
-    // A refusal for rate comes before the claim, so that it does not use up the request id.
-    co_await state_.admit(current.identity, current.deadline);
-    if (current.identity.route->once)
+    // The claim comes first: a refusal of a repeated id must not say not_run while the first request runs.
+    if (current.identity.route->once) {
         current.once = co_await state_.begin_once(current.identity, current.request_id);
+    }
     try {
+        co_await state_.admit(current.identity, current.deadline);
         co_await receive_first_piece(current);
         co_await forward_with_retries(current);
         current.once.finish(request_effect::ran);
@@ -316,7 +318,10 @@
         if (idle) co_return idle;
     }
     const auto left = time_ms{remaining(current.deadline).count()};
-    co_return co_await state_.pool().connect(std::string(lease.address()), std::min(left, connect_limit));
+    auto connection =
+        co_await state_.pool().connect(std::string(lease.address()), std::min(left, connect_limit));
+    connection->closed = state_.count_connection(lease.endpoint());
+    co_return connection;
 }
 
 // Sends header and body. A failure of the endpoint while it receives is not final: it may have answered
@@ -360,7 +365,8 @@
     do {
         answer.emplace();
         answer->header_limit(answer_header_bytes);
-        answer->body_limit(boost::none);
+        // boost::none rejects every announced length in this version of Beast.
+        answer->body_limit(std::numeric_limits<std::uint64_t>::max());
         answer->skip(head_request);
         co_await http::async_read_header(from.stream, from.buffer, *answer,
                                          asio::redirect_error(asio::use_awaitable, failure));
--- a/src/daemon/serve_state.cpp
+++ b/src/daemon/serve_state.cpp
@@ -9,6 +9,7 @@
 #include <json/json.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -20,10 +21,10 @@
 
 // Longest time that a request waits for a loan (design 4.4).
 constexpr time_ms budget_wait_limit{150};
+constexpr time_ms slot_refresh_interval{50};
 
-std::string account_budget(const account_name& name) {
-    return "account/" + name.value;
-}
+// In the order of circuit_breaker::state.
+constexpr std::array breaker_names{"closed", "open", "half_open"};
 
 } // namespace
 
@@ -172,13 +173,14 @@
     while (queues_.size() < config.routes.size()) {
         queues_.emplace_back(static_cast<std::size_t>(settings_.limits.queue_length));
     }
+    apply_slot_shares(monotonic_now());
 }
 
 void serve_state::apply(const peer_message& message) {
     const auto now = monotonic_now();
     if (const auto* query = std::get_if<once_query>(&message.payload)) {
-        send_(
-            {message.from, once_reply{query->sequence, once_.answer_query(clock_now(), query->request_id)}});
+        send_(send_action{message.from,
+                          once_reply{query->sequence, once_.answer_query(clock_now(), query->request_id)}});
         return;
     }
     if (const auto* reply = std::get_if<once_reply>(&message.payload)) {
@@ -190,18 +192,54 @@
     pump_budgets();
 }
 
-void serve_state::apply(const home_update& update) {
+void serve_state::apply(const home_batch& batch) {
     const auto now = monotonic_now();
-    if (update.held) {
-        budgets_->set_home(now, update.budget, update.amount, update.lease_expiry, update.usable_from);
-    } else {
-        budgets_->drop_home(now, update.budget);
+    // Loans beyond a reduced share run out within the longest loan.
+    home_batch_applied confirmation{batch.sequence, now + longest_loan};
+    for (const auto& update : batch.homes) {
+        if (update.held) {
+            budgets_->set_home(now, update.budget, update.amount, update.lease_expiry, update.usable_from);
+        } else {
+            confirmation.clear = std::max(confirmation.clear, budgets_->drop_home(now, update.budget));
+        }
     }
+    for (const auto& update : batch.lenders)
+        budgets_->set_lenders(update.budget, update.lenders);
+    for (const auto& update : batch.slots)
+        slot_shares_[{update.route, update.endpoint}] = update;
     pump_budgets();
+    unconfirmed_ = confirmation;
+    apply_slot_shares(now);
+    confirm_batch();
+}
+
+// Sets the slots of each endpoint that this VM may use now. Slots that are not held are not used.
+void serve_state::apply_slot_shares(time_ms now) {
+    slots_refreshed_ = now;
+    if (!router_) return;
+    for (const auto& route : snapshot_->config->routes) {
+        for (const auto& listed : route.endpoints) {
+            const auto index = router_->find_endpoint(route.name.value, listed.name.value);
+            if (!index) continue;
+            const auto share = slot_shares_.find({route.name.value, listed.name.value});
+            const bool held = share != slot_shares_.end() && now >= share->second.usable_from &&
+                              now < share->second.lease_expiry;
+            router_->set_slot_limit(*index, held ? share->second.slots : 0);
+        }
+    }
 }
 
-void serve_state::apply(const lender_update& update) {
-    budgets_->set_lenders(update.budget, update.lenders);
+// Confirms the last batch once no endpoint has more requests in flight from this VM than the batch left to
+// it: from then on another VM may use the slots.
+void serve_state::confirm_batch() {
+    if (!unconfirmed_ || !router_) return;
+    for (const auto& [name, share] : slot_shares_) {
+        const auto index = router_->find_endpoint(name.first, name.second);
+        if (index && router_->view(*index).in_flight > share.slots) return;
+    }
+    unconfirmed_->clear = std::max(unconfirmed_->clear, monotonic_now());
+    send_(*unconfirmed_);
+    unconfirmed_.reset();
 }
 
 void serve_state::apply(stop_stage stage) {
@@ -219,6 +257,9 @@
     budgets_ = std::make_unique<budget_manager>(self_);
     once_.rebind(self_.incarnation);
     validity_ = {};
+    slot_shares_.clear();
+    unconfirmed_.reset();
+    apply_slot_shares(monotonic_now());
     pump_budgets();
 }
 
@@ -282,7 +323,7 @@
     }
     const auto owner = snapshot_->keys->find(digest_of(key));
     const auto& config = *snapshot_->config;
-    if (owner) identity.account = config.find_account(*owner);
+    if (owner) identity.account = config.find_account(snapshot_->keys->account(*owner).value);
     if (identity.account == nullptr)
         throw error(error_kind::key_rejected, "the key is unknown or was withdrawn");
     identity.account_index = static_cast<std::uint32_t>(identity.account - config.accounts.data());
@@ -349,7 +390,7 @@
     query_waiter waiter{asio::steady_timer(context_), std::nullopt};
     const auto number = ++next_waiter_;
     query_waiters_.emplace(number, &waiter);
-    send_({peer->second, queries_.ask(monotonic_now(), bound, request_id, number)});
+    send_(send_action{peer->second, queries_.ask(monotonic_now(), bound, request_id, number)});
     waiter.timer.expires_after(std::chrono::milliseconds(once_queries::reply_timeout.count));
     boost::system::error_code ignored;
     co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -442,6 +483,11 @@
     return delay;
 }
 
+std::function<void()> serve_state::count_connection(std::uint32_t endpoint) {
+    router_->connection_opened(endpoint);
+    return [this, endpoint] { router_->connection_closed(endpoint); };
+}
+
 asio::awaitable<void> serve_state::sleep(time_ms duration) {
     asio::steady_timer timer(context_, std::chrono::milliseconds(duration.count));
     co_await timer.async_wait(asio::use_awaitable);
@@ -472,6 +518,8 @@
     for (std::uint32_t route = 0; route < queues_.size(); ++route) {
         if (queues_[route].size() > 0) dispatch_queue(route);
     }
+    if (now - slots_refreshed_ >= slot_refresh_interval) apply_slot_shares(now);
+    confirm_batch();
     pool_.close_expired(now);
     std::vector<once_queries::answered> unanswered;
     queries_.expire(now, unanswered);
@@ -506,6 +554,7 @@
 }
 
 void serve_state::dump_route(const route& of, Json::Value& out) const {
+    const auto now = monotonic_now();
     const auto index = router_->find_route(of.name.value);
     if (index) out["queued"] = Json::UInt64(queues_[*index].size());
     for (const auto& listed : of.endpoints) {
@@ -515,8 +564,9 @@
         auto& entry = out["endpoints"][listed.name.value];
         entry["in_flight"] = Json::Int64(state.in_flight);
         entry["drained"] = state.drained;
-        entry["ejected"] = state.ejected;
-        entry["breaker"] = to_string(state.breaker);
+        entry["connections"] = Json::Int64(state.connections);
+        entry["free_slots"] = Json::Int64(router_->headroom(now, *number));
+        entry["breaker"] = breaker_names.at(static_cast<std::size_t>(state.breaker));
         entry["version"] = std::string(state.version);
     }
 }
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -148,8 +149,8 @@
 /// @brief State of the serve thread: everything that decides on requests. Used by that thread only.
 class serve_state {
 public:
-    /// Sends a message of the budgets or of the once registry to a peer.
-    using send_function = std::function<void(send_action)>;
+    /// Hands messages to peers and confirmations to the control thread.
+    using send_function = std::function<void(control_input)>;
 
     serve_state(boost::asio::io_context& context, const process_settings& settings, const peer_id& self,
                 std::uint64_t seed, prometheus::Registry& registry, send_function send);
@@ -159,8 +160,7 @@
     void apply(const key_validity& validity) { validity_ = validity; }
     void apply(std::shared_ptr<const entry_view> entries) { entries_ = std::move(entries); }
     void apply(const peer_message& message);
-    void apply(const home_update& update);
-    void apply(const lender_update& update);
+    void apply(const home_batch& batch);
     void apply(stop_stage stage);
     void apply(const new_incarnation& changed);
     static void apply(std::monostate) {}
@@ -178,6 +178,9 @@
     void count_first_attempt() { retries_.on_request(); }
     std::optional<time_ms> retry_delay(const request_identity& identity, const failed_attempt& attempt);
     boost::asio::awaitable<void> sleep(time_ms duration);
+    /// @brief Counts a connection to an endpoint.
+    /// @return To be called when the connection is closed.
+    std::function<void()> count_connection(std::uint32_t endpoint);
     endpoint_pool& pool() { return pool_; }
 
     // Lookups.
@@ -221,6 +224,8 @@
     void complete_query(const once_queries::answered& answered);
     void dump_route(const route& of, Json::Value& out) const;
     void pump_budgets();
+    void apply_slot_shares(time_ms now);
+    void confirm_batch();
     void close_idle_connections();
     [[nodiscard]] static once_time clock_now();
 
@@ -238,6 +243,10 @@
     time_ms armed_wakeup_{-1};
     std::unordered_multimap<std::string, budget_waiter*> budget_waiters_;
     std::optional<router> router_;
+    // By route and endpoint name.
+    std::map<std::pair<std::string, std::string>, slot_update> slot_shares_;
+    std::optional<home_batch_applied> unconfirmed_;
+    time_ms slots_refreshed_;
     std::vector<admission_queue> queues_;
     std::unordered_map<std::uint64_t, slot_waiter*> slot_waiters_;
     std::uint64_t next_waiter_ = 0;
--- a/src/daemon/serve_thread.cpp
+++ b/src/daemon/serve_thread.cpp
@@ -19,7 +19,7 @@
 serve_thread::serve_thread(const process_settings& settings, const peer_id& self, std::uint64_t seed,
                            prometheus::Registry& registry)
     : state_(context_, settings, self, seed, registry,
-             [this](send_action action) { send(std::move(action)); }),
+             [this](control_input message) { send(std::move(message)); }),
       input_(input_ring_entries, context_, [this](serve_input input) {
           std::visit([this](const auto& event) { state_.apply(event); }, input);
       }) {
@@ -82,8 +82,8 @@
 }
 
 // A full ring drops the message; loans and queries are repeated or expire.
-void serve_thread::send(send_action action) {
-    if (to_control_->push(std::move(action))) return;
+void serve_thread::send(control_input message) {
+    if (to_control_->push(std::move(message))) return;
     log(log_level::warn, "control_ring_full");
 }
 
--- a/src/daemon/serve_thread.h
+++ b/src/daemon/serve_thread.h
@@ -42,7 +42,7 @@
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> tick();
-    void send(send_action action);
+    void send(control_input message);
 
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_{context_};
--- a/src/daemon/thread_messages.h
+++ b/src/daemon/thread_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/home_control.h"
 #include "coordination/peer_message.h"
 #include "coordination/serving_snapshot.h"
 #include "daemon/entry_view.h"
@@ -11,21 +12,6 @@
 
 namespace lacewing {
 
-/// @brief Share of a budget of which this VM is the home, or the end of that role.
-struct home_update {
-    std::string budget;
-    bool held = false;
-    budget_amount amount;
-    time_ms lease_expiry;
-    time_ms usable_from;
-};
-
-/// @brief Homes that this VM may ask for loans of a budget, nearest first.
-struct lender_update {
-    std::string budget;
-    std::vector<peer_id> lenders;
-};
-
 /// @brief Stages of a graceful stop.
 enum class stop_stage : std::uint8_t {
     /// Connections end after their current request; lookups no longer name this VM.
@@ -40,11 +26,11 @@
 };
 
 /// @brief Input of the serve thread from the control thread.
-using serve_input = std::variant<std::monostate, std::shared_ptr<const serving_snapshot>, key_validity,
-                                 std::shared_ptr<const entry_view>, peer_message, home_update, lender_update,
-                                 stop_stage, new_incarnation>;
+using serve_input =
+    std::variant<std::monostate, std::shared_ptr<const serving_snapshot>, key_validity,
+                 std::shared_ptr<const entry_view>, peer_message, home_batch, stop_stage, new_incarnation>;
 
 /// @brief Input of the control thread from the serve thread.
-using control_input = std::variant<std::monostate, send_action>;
+using control_input = std::variant<std::monostate, send_action, home_batch_applied>;
 
 } // namespace lacewing
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -20,8 +20,8 @@
 
 // Method names in the order of the alternatives of peer_payload (design, 5.3).
 constexpr std::array<const char*, std::variant_size_v<peer_payload>> method_names{
-    "ping",     "ack",          "ping_req",   "member_pull", "member_table", "events",    "pull",
-    "snapshot", "loan_request", "loan_grant", "loan_return", "once_query",   "once_reply"};
+    "ping",     "ack",          "ping_req",   "member_pull", "member_table",  "events",     "pull",
+    "snapshot", "loan_request", "loan_grant", "loan_return", "home_handover", "once_query", "once_reply"};
 
 // One list of fields per structure serves encoding and decoding.
 template <class Archive>
@@ -128,6 +128,7 @@
     a("budget", v.budget);
     a("sequence", v.sequence);
     a("wanted", v.wanted);
+    a("renews", v.renews);
 }
 
 template <class Archive>
@@ -146,6 +147,11 @@
     a("tokens", v.tokens);
 }
 
+template <class Archive>
+void fields(Archive& a, home_handover& v) {
+    a("request", v.request);
+}
+
 template <class Archive>
 void fields(Archive& a, once_query& v) {
     a("sequence", v.sequence);
--- a/src/transport/endpoint_pool.h
+++ b/src/transport/endpoint_pool.h
@@ -8,6 +8,7 @@
 #include <boost/beast.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,11 +20,20 @@
 /// @brief Connection to an endpoint with the bytes that were read and not yet parsed.
 struct endpoint_connection {
     explicit endpoint_connection(const boost::asio::any_io_executor& executor) : stream(executor) {}
+    ~endpoint_connection() {
+        if (closed) closed();
+    }
+    endpoint_connection(const endpoint_connection&) = delete;
+    endpoint_connection& operator=(const endpoint_connection&) = delete;
+    endpoint_connection(endpoint_connection&&) = delete;
+    endpoint_connection& operator=(endpoint_connection&&) = delete;
 
     std::string address;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     time_ms idle_since;
+    /// Called when the connection ends; may be empty.
+    std::function<void()> closed;
 };
 
 /// @brief Idle connections to endpoints, by address; used by one thread.
