Transfer tokens without a loan and extend all loans of a lender at once

A bucket with free capacity needs tokens only: the borrower keeps capacity free for 250 ms, the lender gives tokens and nothing is owed afterwards. One renewal extends all loans of a lender.

--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -20,12 +20,18 @@
 // A round trip between regions takes 110 ms; a lender that has not answered by then has nothing at the
 // moment.
 constexpr time_ms answer_timeout{130};
+// Smaller parts of a request cost more messages than they are worth.
+constexpr std::int64_t smallest_transfer = token / 4;
+
 constexpr time_ms longest_backoff{1040};
 
 // A request that finds nothing to lend waits this long at the lender for a return.
 constexpr time_ms lender_queue_time{200};
 constexpr std::size_t lender_queue_length = 64;
 
+// A borrower keeps capacity free for requested tokens this long; later tokens are dropped.
+constexpr time_ms reservation{250};
+
 // Tokens that go back this long before the expiry reach a lender in another region in time.
 constexpr time_ms return_before{300};
 
@@ -139,6 +145,7 @@
     peer_id lender;
     budget_amount amount;
     time_ms expiry;
+    time_ms taken_at;
     time_ms renewal_sent{-1'000'000};
 };
 
@@ -149,6 +156,8 @@
     /// What the budget lacked when the request was sent, over all lenders.
     budget_amount total;
     time_ms sent;
+    /// Capacity that is kept free for the tokens asked for; 0 once it is released.
+    std::int64_t reserved = 0;
 };
 
 struct budget_manager::lender {
@@ -191,6 +200,7 @@
     std::vector<taken_loan> taken;
     budget_amount taken_sum;
     std::vector<pending_request> pending;
+    std::int64_t reserved_sum = 0;
     std::vector<lender> lenders;
     /// Start of the next question for tokens, so that the lenders share the load.
     std::size_t next_lender = 0;
@@ -233,8 +243,14 @@
 // Sets the limits of the own bucket to the home share less the loans given, plus the loans taken.
 void budget_manager::apply_limits(budget_state& state) const {
     const budget_amount own = state.own_home();
-    state.bucket.set_limits(own.rate + state.taken_sum.rate, own.capacity + state.taken_sum.capacity);
+    const std::int64_t capacity = own.capacity + state.taken_sum.capacity;
+    state.bucket.set_limits(own.rate + state.taken_sum.rate, above_zero(capacity - state.reserved_sum));
     state.next_event = far_future;
+    for (const auto& request : state.pending) {
+        if (request.reserved > 0) {
+            state.next_event = std::min(state.next_event, request.sent + reservation);
+        }
+    }
     if (state.home) {
         state.next_event =
             std::min(state.next_event, state.home_usable ? state.lease_expiry : state.usable_from);
@@ -276,6 +292,11 @@
             state.taken_sum.capacity -= loan.amount.capacity;
             return true;
         });
+        for (auto& request : state.pending) {
+            if (request.sent + reservation <= at) {
+                state.reserved_sum -= std::exchange(request.reserved, 0);
+            }
+        }
         apply_limits(state);
     }
     state.bucket.advance(now);
@@ -506,13 +527,20 @@
         const budget_amount amount{found->second.amount.rate, found->second.amount.capacity, 0};
         if (send(now, borrower, loan_grant{state.name, request.sequence, request.renews, amount, duration},
                  0)) {
-            found->second.expiry = std::max(found->second.expiry, now + with_drift(duration));
+            for (auto& [id, loan] : state.given) {
+                if (loan.borrower.incarnation == borrower.incarnation) {
+                    loan.expiry = std::max(loan.expiry, now + with_drift(duration));
+                }
+            }
             ++counters_.grants_sent;
             apply_limits(state);
             schedule(state, state.next_event);
         }
         return true;
     }
+    if (request.wanted.rate == 0 && request.wanted.capacity == 0) {
+        return transfer(state, now, borrower, request);
+    }
     const std::int64_t demand = state.demand.rate(now);
     const budget_amount own = state.own_home();
     const std::int64_t kept_rate = above_zero(demand + demand / 10 - state.taken_sum.rate);
@@ -554,6 +582,23 @@
     return true;
 }
 
+// Gives tokens for which the borrower keeps capacity free. Nothing is owed afterwards.
+bool budget_manager::transfer(budget_state& state, time_ms now, const peer_id& borrower,
+                              const loan_request& request) {
+    const std::int64_t kept = state.waiting * token + state.demand.rate(now) * low_level_ms;
+    const std::int64_t tokens = std::min(request.wanted.tokens, above_zero(state.bucket.level() - kept));
+    if (tokens < std::min(request.wanted.tokens, smallest_transfer)) {
+        return false;
+    }
+    const loan_grant answer{state.name, request.sequence, 0, {0, 0, tokens}, loan_duration};
+    if (!send(now, borrower, answer, 0)) {
+        return false;
+    }
+    ++counters_.grants_sent;
+    state.bucket.take(tokens);
+    return true;
+}
+
 void budget_manager::on_grant(time_ms now, const peer_id& from, const loan_grant& answer) {
     auto* state = find(answer.budget);
     if (state == nullptr) {
@@ -569,7 +614,9 @@
         return;
     }
     const pending_request answered = *request;
+    state->reserved_sum -= answered.reserved;
     state->pending.erase(request);
+    apply_limits(*state);
     for (auto& known : state->lenders) {
         if (known.open == answered.sequence) {
             known.open = 0;
@@ -587,17 +634,24 @@
     const auto held = std::find_if(state->taken.begin(), state->taken.end(), [&](const taken_loan& loan) {
         return loan.id == answer.loan && loan.lender.incarnation == from.incarnation;
     });
-    if (answered.renews != 0) {
-        if (held != state->taken.end() && answered.renews == answer.loan) {
-            held->expiry = std::max(held->expiry, expiry);
+    if (answer.loan == 0) {
+        state->bucket.add(std::min(answer.amount.tokens, answered.reserved));
+    } else if (answered.renews != 0) {
+        // A loan taken before the request was sent either existed when the lender extended its loans, or has
+        // already expired here, because the lender counts a longer term.
+        for (auto& loan : state->taken) {
+            if (answered.renews == answer.loan && loan.lender.incarnation == from.incarnation &&
+                loan.taken_at <= answered.sent) {
+                loan.expiry = std::max(loan.expiry, expiry);
+            }
         }
     } else if (held == state->taken.end()) {
-        state->taken.push_back({answer.loan, from, answer.amount, expiry});
+        state->taken.push_back({answer.loan, from, answer.amount, expiry, now});
         state->taken_sum.rate += answer.amount.rate;
         state->taken_sum.capacity += answer.amount.capacity;
     }
     apply_limits(*state);
-    if (answered.renews == 0) {
+    if (answered.renews == 0 && answer.loan != 0) {
         state->bucket.add(answer.amount.tokens);
     }
     if (stopping_) {
@@ -699,17 +753,22 @@
     }
 }
 
+// Extends all loans of one lender by one message. One of them is named; the lender extends every loan of the
+// budget that it has given to this process.
 void budget_manager::renew(budget_state& state, time_ms now) {
-    for (auto& loan : state.taken) {
-        if (loan.amount.rate == 0 || loan.expiry > now + renew_before ||
-            loan.renewal_sent + renew_retry > now) {
+    for (const auto& due : state.taken) {
+        if (due.amount.rate == 0 || due.expiry > now + renew_before || due.renewal_sent + renew_retry > now) {
             continue;
         }
         const std::uint64_t sequence = ++next_id_;
-        if (send(now, loan.lender, loan_request{state.name, sequence, {}, loan.id}, 0)) {
-            ++counters_.renewals_sent;
-            loan.renewal_sent = now;
-            state.pending.push_back({sequence, loan.lender.incarnation, loan.id, {}, now});
+        if (!send(now, due.lender, loan_request{state.name, sequence, {}, due.id}, 0)) {
+            continue;
+        }
+        ++counters_.renewals_sent;
+        state.pending.push_back({sequence, due.lender.incarnation, due.id, {}, now, 0});
+        const auto extended_by = due.lender.incarnation;
+        for (auto& loan : state.taken) {
+            loan.renewal_sent = loan.lender.incarnation == extended_by ? now : loan.renewal_sent;
         }
     }
 }
@@ -728,7 +787,7 @@
     }
     budget_amount want;
     want.rate = above_zero(demand + demand / 10 - state.bucket.rate());
-    want.tokens = above_zero(state.waiting * token + 2 * (low + token) - state.bucket.level());
+    want.tokens = above_zero(state.waiting * token + 2 * low + token - state.bucket.level());
     if (state.bucket.capacity() == 0) {
         want.tokens = std::max(want.tokens, first_tokens);
     }
@@ -742,7 +801,7 @@
             asked.tokens = std::max(asked.tokens, pending.total.tokens);
         }
     }
-    const bool rate_missing = want.rate > demand / 20 && want.rate > 2 * asked.rate;
+    const bool rate_missing = want.rate > demand / 5 && want.rate > 2 * asked.rate;
     const bool tokens_missing = urgent && want.tokens >= token && want.tokens > 2 * asked.tokens;
     if (!rate_missing && !tokens_missing) {
         return;
@@ -773,6 +832,18 @@
             part.tokens = std::max(std::min(token, want.tokens), want.tokens * 2 / others);
             part.capacity = std::max(part.tokens + 2 * part.rate, want.capacity * 2 / others);
         }
+        // A bucket with free capacity needs the tokens only.
+        // Half a token stays free for the own refill.
+        const std::int64_t room =
+            state.bucket.capacity() - state.bucket.rate() - state.bucket.level() - token / 2;
+        std::int64_t reserved = 0;
+        if (tokens_missing && state.bucket.capacity() >= 2 * token && state.bucket.rate() * 2 >= demand) {
+            reserved = std::min(part.tokens, room);
+            if (reserved < smallest_transfer) {
+                return;
+            }
+            part = {0, 0, reserved};
+        }
         const std::uint64_t sequence = ++next_id_;
         if (!send(now, known.id, loan_request{state.name, sequence, part, 0}, request_reserve)) {
             return;
@@ -780,7 +851,9 @@
         ++counters_.requests_sent;
         known.open = sequence;
         known.ask_again = now + known.backoff;
-        state.pending.push_back({sequence, known.id.incarnation, 0, want, now});
+        state.pending.push_back({sequence, known.id.incarnation, 0, want, now, reserved});
+        state.reserved_sum += reserved;
+        apply_limits(state);
         if (state.waiting == 0) {
             return;
         }
--- a/src/coordination/budget_manager.h
+++ b/src/coordination/budget_manager.h
@@ -155,6 +155,7 @@
     void borrow(budget_state& state, time_ms now);
     void serve_queued(budget_state& state, time_ms now);
     bool grant(budget_state& state, time_ms now, const peer_id& borrower, const loan_request& request);
+    bool transfer(budget_state& state, time_ms now, const peer_id& borrower, const loan_request& request);
     void on_request(time_ms now, const peer_id& from, const loan_request& request);
     void on_grant(time_ms now, const peer_id& from, const loan_grant& grant);
     void on_return(time_ms now, const peer_id& from, const loan_return& message);
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -104,7 +104,7 @@
     std::uint64_t sequence = 0;
     /// Ignored when a loan is extended.
     budget_amount wanted;
-    /// Loan to extend, 0 for a new loan.
+    /// Loan to extend together with all other loans of the budget to the same borrower, 0 for a new loan.
     std::uint64_t renews = 0;
 };
 
@@ -113,7 +113,8 @@
     std::string budget;
     /// Sequence of the request that this answers; the loan runs from the time that request was sent.
     std::uint64_t sequence = 0;
-    /// Identifies the loan at the lender; equal to loan_request::renews when that loan is extended.
+    /// Identifies the loan at the lender; equal to loan_request::renews when loans are extended, 0 when
+    /// tokens are given without a loan.
     std::uint64_t loan = 0;
     /// Amount of the whole loan; an extension carries no tokens.
     budget_amount amount;
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -447,3 +447,24 @@
         CHECK(sum_held(world).capacity <= fleet.capacity);
     }
 }
+
+TEST_CASE("budget: tokens sent without a loan count only while capacity is reserved for them") {
+    pair_of_managers pair;
+    budget_manager home({{"b"}, {"z"}, "127.0.0.1:2", {22}});
+    home.set_lenders(account, {pair.lender_id});
+    home.set_home(0_ms, account, {30 * per_second, 10 * token, 0}, lease, 0_ms);
+    while (home.try_admit(9_s, account) == admission::admitted) {
+    }
+    const auto action = home.take_actions().at(0);
+    const auto grant = pair.answer(9_s, action.payload);
+    REQUIRE(grant.loan == 0);
+    REQUIRE(grant.amount.tokens > 0);
+    CHECK(grant.amount.capacity == 0);
+    const auto free = home.held(9_s, account).capacity;
+    CHECK(free <= 10 * token - grant.amount.tokens);
+    // 250 ms later the capacity is used for the own refill again.
+    CHECK(home.held(9251_ms, account).capacity == 10 * token);
+    const auto before = home.held(9251_ms, account).tokens;
+    home.on_message(9251_ms, pair.lender_id, grant);
+    CHECK(home.held(9251_ms, account).tokens == before);
+}
