--- a/src/bench/limits.cpp
+++ b/src/bench/limits.cpp
@@ -277,17 +277,17 @@
                        100.0 * static_cast<double>(cut_admitted_) / span / due);
         }
         fmt::print("\n");
-        return world_.ledger.violations() == 0 && meets_target(wrongful, polite);
+        return world_.ledger.violations() == 0 && meets_target(worst, polite);
     }
 
-    [[nodiscard]] bool meets_target(double wrongful, double polite) const {
+    [[nodiscard]] bool meets_target(double worst, double polite) const {
         switch (plan_.kind) {
         case load_kind::even:
         case load_kind::one_vm:
-            return wrongful <= 0.1;
+            return worst <= 0.1;
         case load_kind::moving:
         case load_kind::store_down:
-            return wrongful <= 1.0;
+            return worst <= 1.0;
         case load_kind::noisy:
             return polite >= 99.0;
         default:
@@ -320,7 +320,10 @@
         for (const auto chosen : policies) {
             experiment one(chosen, plan, seed);
             const bool good = one.run();
-            met = met && (good || chosen != policy::loans);
+            if (!good && chosen == policy::loans) {
+                fmt::print("  target of the loans policy MISSED (every account on its own)\n");
+                met = false;
+            }
         }
     }
     fmt::print("targets of the loans policy: {}\n", met ? "met" : "MISSED");
--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -39,10 +39,10 @@
 
 // Messages of about 250 bytes: 64 per second are 16 KB/s of the 26 KB/s that a node may use for control.
 constexpr std::int64_t messages_per_s = 64;
-constexpr std::int64_t message_burst = 256;
+constexpr std::int64_t message_burst = 1024;
 
 // New loans leave this part of the burst to returns, grants and renewals.
-constexpr std::int64_t request_reserve = message_burst / 4;
+constexpr std::int64_t request_reserve = message_burst / 16;
 
 // A bucket keeps capacity for the requests of this time, so that at 90 % of the rate the variation of
 // independent arrivals seldom empties it; with 200 ms the token loans alone exceeded the message limit.
