--- a/src/coordination/budget_manager.h
+++ b/src/coordination/budget_manager.h
@@ -89,6 +89,8 @@
     ~budget_manager();
     budget_manager(const budget_manager&) = delete;
     budget_manager& operator=(const budget_manager&) = delete;
+    budget_manager(budget_manager&&) = delete;
+    budget_manager& operator=(budget_manager&&) = delete;
 
     /// @brief Makes this VM the home of its zone's share, extends the lease, or changes the amount.
     /// A new share starts without tokens. A smaller amount takes effect at once for own admissions and new
@@ -155,6 +157,7 @@
     void borrow(budget_state& state, time_ms now);
     void serve_queued(budget_state& state, time_ms now);
     bool grant(budget_state& state, time_ms now, const peer_id& borrower, const loan_request& request);
+    bool transfer(budget_state& state, time_ms now, const peer_id& borrower, const loan_request& request);
     void on_request(time_ms now, const peer_id& from, const loan_request& request);
     void on_grant(time_ms now, const peer_id& from, const loan_grant& grant);
     void on_return(time_ms now, const peer_id& from, const loan_return& message);
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -79,6 +79,12 @@
     CHECK_THROWS_AS(bucket.set_limits(-1, 0), std::invalid_argument);
 }
 
+TEST_CASE("budget: a lender with a clock 1 % fast outwaits a borrower with a clock 1 % slow") {
+    for (const time_ms term : {50_ms, 3_s, 1500_s}) {
+        CHECK(with_drift(term).count * 990 >= term.count * 1010 + 1000);
+    }
+}
+
 TEST_CASE("budget: a hot VM borrows nearly the whole budget and the admissions stay within INV-4") {
     auto world = three_zones(1);
     world.run_until(3_s);
@@ -186,6 +192,14 @@
     pair.borrower.on_message(4_s, pair.lender_id, grant);
     CHECK(pair.borrower.held(4_s, account).capacity == 0);
     CHECK(pair.lender.held(1_s + longest_loan, account).capacity == 1000 * token);
+    // A borrower with an own share must not keep the tokens of the late loan either.
+    pair_of_managers second;
+    second.borrower.set_home(0_ms, account, {10, 50 * token, 0}, lease, 0_ms);
+    const auto late = second.grant_at(1_s);
+    REQUIRE(late.amount.tokens > 0);
+    const auto before = second.borrower.held(5_s, account).tokens;
+    second.borrower.on_message(5_s, second.lender_id, late);
+    CHECK(second.borrower.held(5_s, account).tokens == before);
 }
 
 TEST_CASE("budget: the borrower counts the term from its request and the lender longer from its grant") {
@@ -401,6 +415,7 @@
             return static_cast<std::int64_t>(random() >> 1U) % limit;
         };
         std::vector<std::int64_t> ppm;
+        ppm.reserve(6);
         for (int i = 0; i < 6; ++i) {
             ppm.push_back(pick(20'001) - 10'000);
         }
@@ -447,3 +462,24 @@
         CHECK(sum_held(world).capacity <= fleet.capacity);
     }
 }
+
+TEST_CASE("budget: tokens sent without a loan count only while capacity is reserved for them") {
+    pair_of_managers pair;
+    budget_manager home({{"b"}, {"z"}, "127.0.0.1:2", {22}});
+    home.set_lenders(account, {pair.lender_id});
+    home.set_home(0_ms, account, {30 * per_second, 10 * token, 0}, lease, 0_ms);
+    while (home.try_admit(9_s, account) == admission::admitted) {
+    }
+    const auto action = home.take_actions().at(0);
+    const auto grant = pair.answer(9_s, action.payload);
+    REQUIRE(grant.loan == 0);
+    REQUIRE(grant.amount.tokens > 0);
+    CHECK(grant.amount.capacity == 0);
+    const auto free = home.held(9_s, account).capacity;
+    CHECK(free <= 10 * token - grant.amount.tokens);
+    // 250 ms later the capacity is used for the own refill again.
+    CHECK(home.held(9251_ms, account).capacity == 10 * token);
+    const auto before = home.held(9251_ms, account).tokens;
+    home.on_message(9251_ms, pair.lender_id, grant);
+    CHECK(home.held(9251_ms, account).tokens == before);
+}
