--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -19,6 +19,8 @@
     std::string address;
     incarnation_id incarnation;
 
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const peer_id&) const = default;
 };
 
--- a/src/state/ids.h
+++ b/src/state/ids.h
@@ -13,6 +13,8 @@
 struct named_id {
     std::string value;
 
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const named_id&) const = default;
     [[nodiscard]] bool empty() const { return value.empty(); }
 };
@@ -30,6 +32,8 @@
 struct incarnation_id {
     std::uint64_t value = 0;
 
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const incarnation_id&) const = default;
 };
 
@@ -37,6 +41,8 @@
 struct revision_id {
     std::uint64_t value = 0;
 
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const revision_id&) const = default;
 };
 
--- a/src/state/time_ms.h
+++ b/src/state/time_ms.h
@@ -10,6 +10,8 @@
 struct time_ms {
     std::int64_t count = 0;
 
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     constexpr auto operator<=>(const time_ms&) const = default;
     constexpr time_ms& operator+=(time_ms other) {
         count += other.count;
--- a/tests/key_list_test.cpp
+++ b/tests/key_list_test.cpp
@@ -85,6 +85,7 @@
     key_list_builder builder;
     for (int account = 0; account < 1000; ++account) {
         std::vector<std::string> keys;
+        keys.reserve(100);
         for (int key = 0; key < 100; ++key) {
             keys.push_back(std::to_string(account) + "/" + std::to_string(key));
         }
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -126,6 +126,8 @@
     fleet.run(second * 60, [&] {
         CHECK(fleet.lists(0, 6));
         CHECK(fleet.lists(4, 6));
+        // The indirect probes find a path, so nobody even suspects it.
+        CHECK(fleet.node(1).members().trusted(fleet.node(4).self().incarnation));
     });
 }
 
