Keep the cost of membership changes low when many nodes start together

Change: partial sort of the pending changes, elections only after a change, repairs from a random position, second table request after 10 to 15 s.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -35,7 +36,10 @@
                        std::uint64_t seed, time_ms now)
     : self_{std::move(self), std::move(caller_address), member_state::alive, 1, {}},
       settings_(std::move(settings)), random_(seed), started_at_(now), last_tick_(now), next_probe_(now),
-      next_hint_(now + settings_.hint_interval), next_pull_(now) {}
+      next_hint_(now + settings_.hint_interval), next_pull_(now) {
+    // Members must not repair the same records at the same time.
+    repair_position_ = static_cast<std::size_t>(random_() >> 1U);
+}
 
 std::vector<send_action> membership::tick(time_ms now) {
     std::vector<send_action> out;
@@ -229,7 +233,9 @@
     }
     if (status_ == membership_status::joining) {
         status_ = membership_status::member;
-        second_pull_ = now + settings_.second_pull_delay;
+        const auto jitter =
+            random_below(static_cast<std::uint64_t>(settings_.second_pull_delay.count) / 2 + 1);
+        second_pull_ = now + settings_.second_pull_delay + time_ms{static_cast<std::int64_t>(jitter)};
         announce_self();
     }
     merge(payload.members, now, false);
@@ -264,7 +270,7 @@
     if (inserted) {
         member.record = record;
         member.record.state = member_state::alive;
-        lists_valid_ = false;
+        invalidate_lists();
         set_state(member, record.state, now);
         if (news) {
             announce(member);
@@ -315,7 +321,7 @@
         member.suspected_at = {-1};
         member.dead_at = now;
     }
-    lists_valid_ = false;
+    invalidate_lists();
 }
 
 // Changes the state on this process's own judgement and spreads it.
@@ -354,27 +360,35 @@
         --own_transmissions_;
         updates.push_back(self_);
     }
-    // The least transmitted changes are the most recent ones.
-    const auto remaining = [&](incarnation_id id) {
-        const auto known = table_.find(id);
-        return known == table_.end() ? 0U : known->second.transmissions;
-    };
-    std::stable_sort(news_.begin(), news_.end(), [&](auto a, auto b) { return remaining(a) > remaining(b); });
+    // The least transmitted changes are the most recent ones. Only as many as fit are put in order: after a
+    // common start of the fleet there are hundreds.
+    std::vector<std::pair<unsigned, incarnation_id>> recent;
+    recent.reserve(news_.size());
     for (const auto id : news_) {
-        if (updates.size() >= settings_.max_updates) {
-            break;
-        }
         const auto known = table_.find(id);
-        if (known == table_.end() || known->second.transmissions == 0) {
-            continue;
+        if (known != table_.end() && known->second.transmissions > 0) {
+            recent.emplace_back(known->second.transmissions, id);
         }
-        --known->second.transmissions;
-        if (id != recipient) {
-            updates.push_back(known->second.record);
+    }
+    const auto count =
+        std::min(recent.size(), settings_.max_updates - std::min(updates.size(), settings_.max_updates));
+    std::partial_sort(recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(count), recent.end(),
+                      std::greater<>());
+    for (std::size_t i = 0; i < count; ++i) {
+        auto& member = table_.at(recent[i].second);
+        --member.transmissions;
+        if (recent[i].second != recipient) {
+            updates.push_back(member.record);
         }
     }
-    std::erase_if(news_, [&](auto id) { return remaining(id) == 0; });
-    const auto& all = members();
+    news_.clear();
+    for (const auto& [transmissions, id] : recent) {
+        if (table_.at(id).transmissions > 0) {
+            news_.push_back(id);
+        }
+    }
+    // The list may be older than the table; each entry is looked up again.
+    const auto& all = members_;
     for (std::size_t i = 0; i < repair && !all.empty() && updates.size() < settings_.max_updates; ++i) {
         const auto& id = all[repair_position_++ % all.size()].incarnation;
         const auto known = table_.find(id);
@@ -577,7 +591,7 @@
     status_ = membership_status::leaving;
     self_.state = member_state::leaving;
     ++self_.counter;
-    lists_valid_ = false;
+    invalidate_lists();
     announce_self();
 }
 
@@ -603,7 +617,7 @@
     probe_.reset();
     outstanding_.clear();
     relayed_.clear();
-    lists_valid_ = false;
+    invalidate_lists();
     // Suspicions from before the pause say nothing about the present.
     for (auto& [id, member] : table_) {
         if (member.suspected_at.count >= 0) {
@@ -614,6 +628,11 @@
     merge_record(old, now, true);
 }
 
+void membership::invalidate_lists() {
+    lists_valid_ = false;
+    ++version_;
+}
+
 void membership::rebuild_lists() const {
     members_.clear();
     zone_members_.clear();
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -24,7 +24,7 @@
     time_ms join_timeout{3000};
     /// A new member asks for the table again after this time: when many start together, the first table is
     /// partial.
-    time_ms second_pull_delay{5000};
+    time_ms second_pull_delay{10'000};
     /// Period of contacts with seeds, hinted addresses and dead members, which ends a split after a
     /// partition.
     time_ms hint_interval{5000};
@@ -90,6 +90,8 @@
     [[nodiscard]] const std::vector<peer_id>& members_of(const zone_name& zone) const;
     /// @brief Whether the member is alive and not suspected.
     [[nodiscard]] bool trusted(incarnation_id member) const;
+    /// @brief Changes whenever the answers of members, members_of or trusted may have changed.
+    [[nodiscard]] std::uint64_t version() const { return version_; }
     /// @brief All records, dead ones included, ordered by VM name and incarnation.
     [[nodiscard]] std::vector<member_record> records() const;
     [[nodiscard]] const member_record* find(incarnation_id member) const;
@@ -147,6 +149,7 @@
     void adjust_after_pause(time_ms now);
     std::vector<peer_id> random_members(std::size_t count, incarnation_id except);
     std::uint64_t random_below(std::uint64_t limit) { return random_() % limit; }
+    void invalidate_lists();
     void rebuild_lists() const;
 
     member_record self_;
@@ -169,6 +172,7 @@
     time_ms next_hint_;
     time_ms next_pull_;
     std::optional<time_ms> second_pull_;
+    std::uint64_t version_ = 1;
     mutable bool lists_valid_ = false;
     mutable std::vector<peer_id> members_;
     mutable std::map<zone_name, std::vector<peer_id>> zone_members_;
--- a/src/coordination/spread_node.cpp
+++ b/src/coordination/spread_node.cpp
@@ -115,6 +115,10 @@
 // Elects the watchers of all zones from the members that are not suspected.
 void spread_node::elect(time_ms now) {
     next_election_ = now + settings_.election_interval;
+    if (elected_version_ == members_.version()) {
+        return;
+    }
+    elected_version_ = members_.version();
     std::map<zone_name, std::vector<peer_id>> zones;
     for (const auto& member : members_.members()) {
         if (members_.trusted(member.incarnation)) {
--- a/src/coordination/spread_node.h
+++ b/src/coordination/spread_node.h
@@ -71,6 +71,7 @@
     bool watcher_ = false;
     bool urgent_ = false;
     std::uint64_t pulses_ = 0;
+    std::uint64_t elected_version_ = 0;
     time_ms next_election_;
     time_ms last_pulse_;
 };
