--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -22,6 +22,9 @@
 
 constexpr time_ms pull_interval{1000};
 
+// Walks the whole table, so not at each tick; it delays a verdict by at most 5 % of the suspicion.
+constexpr time_ms expiry_interval{250};
+
 bool listed(member_state state) {
     return state == member_state::alive || state == member_state::suspect;
 }
@@ -48,8 +51,11 @@
     if (status_ == membership_status::fenced) {
         return out;
     }
-    expire_members(now);
-    expire_requests(now);
+    if (now >= next_expiry_) {
+        next_expiry_ = now + expiry_interval;
+        expire_members(now);
+        expire_requests(now);
+    }
     if (status_ == membership_status::joining && now >= next_pull_) {
         next_pull_ = now + pull_interval;
         if (now - started_at_ >= settings_.join_timeout) {
@@ -613,7 +619,7 @@
     self_.state = member_state::alive;
     self_.counter = 1;
     status_ = membership_status::joining;
-    started_at_ = last_tick_ = next_probe_ = next_pull_ = now;
+    started_at_ = last_tick_ = next_probe_ = next_pull_ = next_expiry_ = now;
     probe_.reset();
     outstanding_.clear();
     relayed_.clear();
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -284,6 +284,8 @@
     const std::vector<zone_name> zones{{"b"}};
     CHECK(freshness.verdict({9000}, zones) == key_verdict::serve_under_partition_policy);
     CHECK(freshness.verdict({4900}, zones) == key_verdict::serve_under_outage_policy);
+    const std::vector<zone_name> with_unheard_zone{{"b"}, {"c"}};
+    CHECK(freshness.verdict({4900}, with_unheard_zone) == key_verdict::serve_under_partition_policy);
     // A confirmation of a revision that the replica lacks does not count.
     freshness.note_confirmation({6}, {8900});
     CHECK(*freshness.age({9000}) == time_ms{9000 - 1980 + 100});
