Limit table requests to unknown senders to one in 30 s

Cause: when 870 nodes start together, every unknown sender made its receiver ask for a whole table, once a second per node. Change: one such request per 30 s; single senders become known by gossip.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -22,6 +22,9 @@
 
 constexpr time_ms pull_interval{1000};
 
+// A table costs in proportion to the fleet, and a single unknown sender becomes known by gossip as well.
+constexpr time_ms meeting_interval{30'000};
+
 // Walks the whole table, so not at each tick; it delays a verdict by at most 5 % of the suspicion.
 constexpr time_ms expiry_interval{250};
 
@@ -250,10 +253,10 @@
 // Asks an unknown sender for its table, which also makes this process known to it.
 void membership::meet_sender(const peer_id& sender, time_ms now, std::vector<send_action>& out) {
     if (sender.incarnation == self_.id.incarnation || table_.contains(sender.incarnation) ||
-        now < next_pull_) {
+        now < next_meeting_) {
         return;
     }
-    next_pull_ = now + pull_interval;
+    next_meeting_ = now + meeting_interval;
     out.push_back({sender, member_pull{self_}});
 }
 
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -171,6 +171,7 @@
     time_ms next_probe_;
     time_ms next_hint_;
     time_ms next_expiry_;
+    time_ms next_meeting_;
     time_ms next_pull_;
     std::optional<time_ms> second_pull_;
     std::uint64_t version_ = 1;
