--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -319,10 +319,14 @@
     if (count == 1) return candidates_[0];
     if (rule_ == selection_rule::round_robin) return candidates_[in.next++ % count];
     if (rule_ == selection_rule::least_in_flight) {
-        return *std::min_element(candidates_.begin(), candidates_.end(),
-                                 [&](std::uint32_t a, std::uint32_t b) {
-                                     return endpoints_[a].in_flight < endpoints_[b].in_flight;
-                                 });
+        // Ties go to the endpoints in turn, not always to the first.
+        const auto start = in.next++;
+        auto best = candidates_[start % count];
+        for (std::uint32_t i = 1; i < count; ++i) {
+            const auto other = candidates_[(start + i) % count];
+            if (endpoints_[other].in_flight < endpoints_[best].in_flight) best = other;
+        }
+        return best;
     }
     const auto bits = random_();
     const auto first = static_cast<std::uint32_t>(((bits & 0xffff'ffff) * count) >> 32);
