--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -147,7 +147,8 @@
 // Guards against a value that the store could not hold or that could not be recognised later.
 TEST_CASE("store client refuses values without a place for the writer or above 1 MB") {
     store_fixture fixture;
-    for (const auto& value : {std::string("[]"), R"({"a":")" + std::string(1024 * 1024, 'x') + R"("})"}) {
+    for (const auto& value :
+         {std::string("[]"), R"({"a":")" + std::string(std::size_t{1024} * 1024, 'x') + R"("})"}) {
         CHECK_THROWS_AS(run_until_done(fixture.loop,
                                        [&]() -> asio::awaitable<void> {
                                            co_await fixture.first.put("a", value, revision_id{0});
