--- a/src/coordination/home_control.cpp
+++ b/src/coordination/home_control.cpp
@@ -51,6 +51,13 @@
         // Micro-tokens per millisecond are thousandths of a request per second.
         wholes_[account_budget(account.name)] = {plan->rate_per_s * 1000, plan->burst * 1'000'000, 0};
     }
+    zone_slots_.clear();
+    for (const auto& route : config.routes) {
+        for (const auto& endpoint : route.endpoints) {
+            if (endpoint.zone != self_.zone) continue;
+            zone_slots_.push_back({route.name.value, endpoint.name.value, endpoint.slots, {}, {}});
+        }
+    }
     std::vector<zone_name> zones;
     for (const auto& zone : config.zones)
         zones.push_back(zone.name);
