--- a/src/coordination/home_control.cpp
+++ b/src/coordination/home_control.cpp
@@ -190,6 +190,12 @@
                         [&](const auto& entry) { return entry.id.incarnation == self_.incarnation; });
 }
 
+bool home_control::ready(time_ms now) const {
+    if (!roster_.established() || unconfirmed_ || confirmation_due_ || !layout_settled()) return false;
+    return std::all_of(held_.begin(), held_.end(),
+                       [now](const auto& share) { return share.second.usable_from <= now; });
+}
+
 std::optional<conditional_write> home_control::next_write(time_ms now) {
     if (zones_.empty()) return std::nullopt;
     if (leaving_ && held_.empty() && !unconfirmed_ && now >= clear_) roster_.leave();
--- a/src/coordination/home_control.h
+++ b/src/coordination/home_control.h
@@ -92,6 +92,9 @@
 
     /// @brief Next write of the roster that is due.
     std::optional<conditional_write> next_write(time_ms now);
+    /// @brief The shares that this VM is the home of are confirmed and usable.
+    [[nodiscard]] bool ready(time_ms now) const;
+
     /// @brief Roster of the own zone, for the results of its writes and its messages.
     zone_roster& roster() { return roster_; }
 
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -185,9 +185,9 @@
     once_outcome outcome = once_outcome::unknown;
 };
 
-using peer_payload =
-    std::variant<ping, ack, ping_request, member_pull, member_table, object_events, object_pull,
-                 object_snapshot, loan_request, loan_grant, loan_return, home_handover, once_query, once_reply>;
+using peer_payload = std::variant<ping, ack, ping_request, member_pull, member_table, object_events,
+                                  object_pull, object_snapshot, loan_request, loan_grant, loan_return,
+                                  home_handover, once_query, once_reply>;
 
 /// @brief A message between two processes.
 struct peer_message {
--- a/src/coordination/zone_roster.h
+++ b/src/coordination/zone_roster.h
@@ -99,6 +99,9 @@
     /// @brief The own entry was removed; the process must go on under a new incarnation.
     [[nodiscard]] bool removed() const { return removed_; }
 
+    /// @brief The own entry is listed and every entry listed before it has handed over.
+    [[nodiscard]] bool established() const { return joined_ && missing_.empty() && !removed_; }
+
     /// @brief The home of a budget according to the last observation, none for an empty roster.
     [[nodiscard]] std::optional<peer_id> home_of(std::string_view budget) const;
 
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -359,7 +359,10 @@
 
 std::string control_thread::readiness() const {
     if (leaving_) return "leaving";
+    const auto now = monotonic_now();
     if (!builder_.snapshot()) return "no configuration yet";
+    if (node_.members().status(now) != membership_status::member) return "not yet a member";
+    if (!homes_->ready(now)) return "shares of rates and slots not yet held";
     return "ready";
 }
 
