Enforce the bounds of the key policy and check settings files

Cause: the bound of serving during a partition was read from the settings and never applied, and lacewingctl check took settings files for configurations. Conclusion: the policy is decided in one pure function.

--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -1,5 +1,6 @@
 #include "ctl/commands.h"
 #include "ctl/fleet.h"
+#include "state/settings.h"
 
 #include <fmt/format.h>
 #include <map>
@@ -19,9 +20,22 @@
     return texts;
 }
 
+// Checks each settings file by itself and the other files together as one configuration.
 exit_status check(const global_options& options, const file_list& files) {
-    const auto config = merge_configuration({}, read_files(files));
+    auto texts = read_files(files);
+    const auto settings = std::stable_partition(
+        texts.begin(), texts.end(), [](const auto& file) { return !is_settings_text(file.text); });
+    for (auto file = settings; file != texts.end(); ++file)
+        parse_settings(file->text, file->file);
+    const auto settings_files = std::distance(settings, texts.end());
+    texts.erase(settings, texts.end());
     Json::Value answer;
+    answer["settings_files"] = Json::Int64(settings_files);
+    if (texts.empty()) {
+        print_answer(options, answer, fmt::format("valid: {} settings files", settings_files));
+        return exit_status::done;
+    }
+    const auto config = merge_configuration({}, texts);
     answer["routes"] = Json::UInt64(config.routes.size());
     answer["plans"] = Json::UInt64(config.plans.size());
     answer["accounts"] = Json::UInt64(config.accounts.size());
@@ -130,7 +144,7 @@
             chosen = [=, &options] { return command(options, *files); };
         });
     };
-    add("check", "Check files as one complete configuration", check);
+    add("check", "Check settings files, and the other files as one complete configuration", check);
     add("apply", "Merge the sections of the files over the stored configuration", apply);
     add("diff", "Show what apply would change", diff);
     app.add_subcommand("get", "Print the stored configuration")->callback([&] {
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_thread.h"
 
+#include "coordination/key_policy.h"
 #include "transport/host.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
@@ -21,8 +22,6 @@
 // Shorter than half of the freshness bound, so that a lost answer does not make the keys stale.
 constexpr time_ms watch_wait{500};
 constexpr time_ms entries_interval{250};
-// A policy verdict is renewed with every tick and must not outlive a thread that stopped.
-constexpr time_ms policy_validity{500};
 // Time in which callers ask again for entry VMs before a leaving VM refuses them (design 4.10).
 constexpr std::chrono::milliseconds leave_notice{2000};
 constexpr std::chrono::milliseconds leave_poll{20};
@@ -275,15 +274,7 @@
     const auto verdict = node_.verdict(now, zones_);
     key_validity validity;
     validity.verdict = to_string(verdict);
-    if (verdict == key_verdict::fresh) {
-        const auto age = node_.freshness().age(now);
-        if (age) validity.valid_until = now - *age + freshness_settings{}.bound;
-    }
-    const auto& policy = settings_.key_policy;
-    if ((verdict == key_verdict::serve_under_outage_policy && policy.serve_on_store_outage) ||
-        (verdict == key_verdict::serve_under_partition_policy && policy.serve_on_partition)) {
-        validity.valid_until = now + policy_validity;
-    }
+    validity.valid_until = keys_valid_until(now, verdict, node_.freshness().age(now), settings_.key_policy);
     push(validity);
 }
 
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 #include <set>
+#include <yaml-cpp/yaml.h>
 
 namespace lacewing {
 
@@ -75,4 +76,13 @@
     return made;
 }
 
+bool is_settings_text(std::string_view text) {
+    try {
+        const auto root = YAML::Load(std::string(text));
+        return root.IsMap() && (root["vm"] || root["caller_listen"] || root["peer_listen"]);
+    } catch (const YAML::Exception&) {
+        return false;
+    }
+}
+
 } // namespace lacewing
