Send no length with answers that have no body

Cause: 204 and 304 answers were given Content-Length: 0, which RFC 9110 forbids for 204 and which misstates the length of the entity for 304. Change: outgoing_answer leaves the length out for both. Measured: builds; covered by no test yet. Conclusion: to be covered by a system test.

--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -98,7 +98,7 @@
             const auto name = item.isMember("name")
                                   ? item["name"].asString()
                                   : fmt::format("{}-{}", item["from"].asString(), item["to"].asString());
-            items[section + "/" + name] = compact_json(item);
+            items[fmt::format("{}/{}", section, name)] = compact_json(item);
         }
     }
     return items;
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -412,6 +412,8 @@
         if (announced != answer.get().end()) out.set(http::field::content_length, announced->value());
     } else if (answer.content_length()) {
         out.content_length(*answer.content_length());
+    } else if (out.result() == http::status::no_content || out.result() == http::status::not_modified) {
+        // These have no body and must not announce one.
     } else if (answer.is_done()) {
         out.content_length(size);
     } else {
