Cover every field of every message kind in the codec test

The sample list lacked home_handover and loan_request::renews, and a field that is missing from both directions of the codec still survived the round trip with its default value. The new test compares the number of members of each structure with the number of encoded values. Mutation: without a("renews", v.renews) in the codec the test fails.

--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -2,6 +2,9 @@
 #include "state/error_kind.h"
 
 #include <doctest/doctest.h>
+#include <json/json.h>
+#include <sstream>
+#include <utility>
 
 using namespace lacewing;
 
@@ -24,13 +27,43 @@
             object_events{{10}, {12}, events, sender, 0, ~std::uint64_t{0}, freshness, {record}},
             object_pull{{10}},
             object_snapshot{{12}, 1, 2, events},
-            loan_request{"rate/a", 5, {-1, 2, 3}},
+            loan_request{"rate/a", 5, {-1, 2, 3}, 4},
             loan_grant{"rate/a", 5, 6, {1, 2, 3}, {3000}},
             loan_return{"rate/a", 6, 1},
+            home_handover{true},
             once_query{8, "0123-x"},
             once_reply{8, once_outcome::not_run}};
 }
 
+struct any_value {
+    template <class T>
+    operator T() const; // NOLINT(google-explicit-constructor)
+};
+
+template <class T, std::size_t... Index>
+constexpr bool takes(std::index_sequence<Index...> /*indices*/) {
+    return requires {
+        T{(static_cast<void>(Index), any_value{})...};
+    };
+}
+
+// Number of members of an aggregate: the longest initialiser list that it accepts.
+template <class T, std::size_t Count = 1>
+constexpr std::size_t member_count() {
+    if constexpr (takes<T>(std::make_index_sequence<Count>{})) {
+        return member_count<T, Count + 1>();
+    } else {
+        return Count - 1;
+    }
+}
+
+Json::Value encoded_body(const peer_payload& payload) {
+    std::istringstream text(encode_peer_message({sender, {9}, payload}));
+    Json::Value json;
+    text >> json;
+    return json["params"]["body"];
+}
+
 void replace(std::string& text, const std::string& from, const std::string& to) {
     const auto at = text.find(from);
     REQUIRE(at != std::string::npos);
@@ -56,6 +89,26 @@
     CHECK(*decoded.events[0].value == *std::get<object_events>(payloads[5]).events[0].value);
 }
 
+TEST_CASE("a message field that neither direction of the codec knows") {
+    const auto payloads = one_of_each_kind();
+    for (const auto& payload : payloads) {
+        std::visit(
+            [&](const auto& body) {
+                CAPTURE(payload.index());
+                CHECK(encoded_body(payload).size() == member_count<std::decay_t<decltype(body)>>());
+            },
+            payload);
+    }
+    const auto probe = encoded_body(payloads[0])["probe"];
+    CHECK(probe.size() == member_count<probe_payload>());
+    CHECK(probe["freshness"].size() == member_count<freshness_report>());
+    CHECK(probe["freshness"]["zones"][0].size() == member_count<zone_report>());
+    CHECK(probe["updates"][0].size() == member_count<member_record>());
+    CHECK(probe["updates"][0]["id"].size() == member_count<peer_id>());
+    CHECK(encoded_body(payloads[5])["events"][0].size() == member_count<object_event>());
+    CHECK(encoded_body(payloads[8])["wanted"].size() == member_count<budget_amount>());
+}
+
 TEST_CASE("a malformed peer message is dropped with a text that names the fault") {
     peer_decoder decoder;
     const auto good = encode_peer_message({sender, {9}, object_pull{{10}}});
