Refute a declared death under the same incarnation

Cause: a record with the state dead was final, and a process that saw itself declared dead fenced itself, so each partition of more than about 6 s ended the incarnations, request ids and home shares of VMs that ran all the time. Change: dead is compared by counter like every other state, and a process refutes it with a higher counter. Only a process that did not run for the pause limit by its own clock is fenced.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -131,9 +131,6 @@
     const bool for_other = message.to != incarnation_id{} && message.to != self_.id.incarnation;
     if (!for_other) {
         merge(payload.probe.updates, now, true);
-        if (status_ == membership_status::fenced) {
-            return;
-        }
         meet_sender(message.from, now, out);
     }
     // The ack of another incarnation tells the sender that its target no longer runs at this address.
@@ -153,9 +150,6 @@
         return;
     }
     merge(payload.probe.updates, now, true);
-    if (status_ == membership_status::fenced) {
-        return;
-    }
     meet_sender(message.from, now, out);
     const auto sequence = payload.probe.sequence;
     if (const auto relay = relayed_.find(sequence); relay != relayed_.end()) {
@@ -198,9 +192,6 @@
         return;
     }
     merge(payload.updates, now, true);
-    if (status_ == membership_status::fenced) {
-        return;
-    }
     meet_sender(message.from, now, out);
     relayed_[++sequence_] = {message.from, payload.sequence, payload.target.incarnation, now};
     ping probe;
@@ -288,25 +279,19 @@
     }
     auto& held = member.record;
     held.revision = std::max(held.revision, record.revision);
-    if (held.state == member_state::dead) {
-        return;
-    }
     const bool newer =
         record.counter > held.counter || (record.counter == held.counter && record.state > held.state);
-    if (record.state != member_state::dead && !newer) {
+    if (!newer) {
         return;
     }
-    held.counter = std::max(held.counter, record.counter);
+    held.counter = record.counter;
     set_state(member, record.state, now);
     announce(member);
 }
 
-// Refutes a suspicion against this process with a higher counter; a declared death cannot be refuted.
+// Refutes a suspicion or a declared death of this process with a higher counter. Others declare it dead when
+// they cannot reach it; only a pause of its own, which it detects by its clock, ends an incarnation.
 void membership::merge_own(const member_record& record) {
-    if (record.state == member_state::dead) {
-        status_ = membership_status::fenced;
-        return;
-    }
     if (record.counter < self_.counter || record.state == self_.state) {
         return;
     }
@@ -315,9 +300,6 @@
 }
 
 void membership::set_state(entry& member, member_state state, time_ms now) {
-    if (member.record.state == member_state::dead) {
-        return;
-    }
     const bool was_suspect = member.record.state == member_state::suspect;
     member.record.state = state;
     if (state == member_state::suspect && !was_suspect) {
@@ -329,6 +311,8 @@
     if (state == member_state::dead) {
         member.suspected_at = {-1};
         member.dead_at = now;
+    } else {
+        member.dead_at = {-1};
     }
     invalidate_lists();
 }
@@ -637,6 +621,15 @@
     merge_record(old, now, true);
 }
 
+void membership::adopt(const std::vector<member_record>& records, time_ms now) {
+    status_ = membership_status::member;
+    merge(records, now, false);
+    for (auto& [id, member] : table_) {
+        member.transmissions = 0;
+    }
+    news_.clear();
+}
+
 void membership::invalidate_lists() {
     lists_valid_ = false;
     ++version_;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -18,7 +18,7 @@
     time_ms probe_timeout{300};
     std::size_t indirect_probes = 3;
     time_ms suspicion{5000};
-    /// A process that did not run for this long fences itself: others may have declared it dead.
+    /// A process that did not run for this long by its own clock fences itself.
     time_ms pause_limit{5000};
     /// Time without any answer after which a joining process considers itself the only member.
     time_ms join_timeout{3000};
@@ -41,7 +41,7 @@
     joining,
     member,
     leaving,
-    /// The process was paused or declared dead; it must rejoin under a new incarnation.
+    /// The process did not run for the pause limit; it must rejoin under a new incarnation.
     fenced,
 };
 
@@ -66,6 +66,8 @@
     /// @brief Rejoins after fencing. The caller has discarded everything that belonged to the old
     /// incarnation.
     void rejoin(incarnation_id incarnation, time_ms now);
+    /// @brief Starts as a member of a fleet whose records are given, without joining.
+    void adopt(const std::vector<member_record>& records, time_ms now);
     /// @brief A ping outside the probe schedule, for a caller that needs the peer's answer.
     /// @param repair False for frequent pings: they carry changes only, and without any, so does the answer.
     [[nodiscard]] send_action make_ping(const peer_id& target, time_ms now, bool repair = true);
