Keep the parts of a budget within the whole over changes of the list of zones

Reading it showed these faults: a second change of the list before the first was announced compared only the last two lists; the confirmation of a batch made before a change announced the new list; announcements older than the own one counted as proof, so a list that returned could be used beside the one in between; a VM that held only slots removed its roster entry while it still used them; a process that went on after a pause replaced its own entry while its requests were in flight; a confirmation for an earlier incarnation could match a batch of the next one.

Change: a VM uses the smallest part over all lists since the last settled one, and settles only after it has read everything up to its own announcement. A process joins or leaves the roster only after a confirmed batch. Batch numbers start at a hash of the incarnation. A home share beyond the zone's part throws budget_invariant_error in every build.

--- a/src/coordination/home_control.cpp
+++ b/src/coordination/home_control.cpp
@@ -41,7 +41,9 @@
 }
 
 home_control::home_control(const peer_id& self, const std::string& boot_id)
-    : self_(self), roster_(self, boot_id) {}
+    : self_(self), roster_(self, boot_id),
+      // A confirmation that was on its way when the process changed its incarnation matches no batch.
+      sequence_(rendezvous_weight("batch", self.incarnation) >> 16U) {}
 
 void home_control::update(const configuration& config) {
     wholes_.clear();
@@ -62,12 +64,16 @@
     for (const auto& zone : config.zones)
         zones.push_back(zone.name);
     if (zones != zones_) {
-        earlier_zones_ = std::exchange(zones_, zones);
+        const bool first = zones_.empty();
+        zones_ = zones;
+        layouts_.push_back(zones_);
         layout_ = layout_of(zones_);
+        layout_sent_ = false;
         layout_applied_ = false;
+        announced_at_ = {};
         confirmation_due_ = true;
-        // A process without shares has nothing to reduce.
-        if (held_.empty() && !unconfirmed_) roster_.set_layout(layout_);
+        // A new process has no shares to reduce.
+        if (first) roster_.set_layout(layout_);
     }
     const auto* own = config.find_zone(self_.zone.value);
     const auto distance = [&](const zone& other) {
@@ -91,14 +97,31 @@
     }
     auto& held = rosters_[zone];
     if (object.revision < held.revision) return;
+    auto next = object.deleted() ? roster_object{} : parse_roster(*object.value);
+    const auto listed = [](const roster_object& roster, incarnation_id id) {
+        return std::any_of(roster.entries.begin(), roster.entries.end(),
+                           [&](const auto& entry) { return entry.id.incarnation == id; });
+    };
+    for (const auto& entry : held.object.entries) {
+        if (!listed(next, entry.id.incarnation)) removals_clear_ = now + longest_loan;
+    }
     held.revision = object.revision;
-    held.object = object.deleted() ? roster_object{} : parse_roster(*object.value);
+    held.object = std::move(next);
+    if (zone != self_.zone.value || announced_at_.value != 0) return;
+    const auto& entries = held.object.entries;
+    const auto own = std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        return entry.id.incarnation == self_.incarnation;
+    });
+    const bool announced = roster_.layout() == layout_ && own != entries.end() && own->layout == layout_;
+    if (announced) announced_at_ = held.revision;
 }
 
 void home_control::applied(const home_batch_applied& confirmation) {
     if (confirmation.sequence != sequence_) return;
     unconfirmed_ = false;
-    layout_applied_ = true;
+    confirmed_once_ = true;
+    layout_applied_ = layout_sent_;
+    released_ = release_sent_;
     clear_ = std::max(clear_, confirmation.clear);
     if (!confirmation_due_) roster_.dropped(clear_);
 }
@@ -106,6 +129,7 @@
 std::optional<home_batch> home_control::refresh(time_ms now) {
     if (zones_.empty() || unconfirmed_) return std::nullopt;
     announce_layout(now);
+    settle_layout(now);
     home_batch batch;
     for (const auto& [budget, whole] : wholes_) {
         const auto term = leaving_ ? home_term{} : roster_.term(now, budget);
@@ -124,15 +148,20 @@
     }
     for (const auto& update : batch.homes) {
         if (update.held) {
+            check_part(update);
             held_[update.budget] = update;
         } else {
             held_.erase(update.budget);
         }
     }
     refresh_slots(now, batch);
-    if (batch.homes.empty() && batch.lenders.empty() && batch.slots.empty() && !confirmation_due_)
+    const bool release_due = leaving_ && !release_sent_;
+    if (batch.homes.empty() && batch.lenders.empty() && batch.slots.empty() && !confirmation_due_ &&
+        !release_due)
         return std::nullopt;
     confirmation_due_ = false;
+    layout_sent_ = true;
+    release_sent_ = leaving_;
     batch.sequence = ++sequence_;
     unconfirmed_ = true;
     return batch;
@@ -162,8 +191,8 @@
     held_slots_ = std::move(wanted);
 }
 
-// Whether every VM that may hold shares divides budgets by the same list of zones as this one.
-bool home_control::layout_settled() const {
+// Whether every VM that may hold shares announces the same list of zones as this one.
+bool home_control::announcements_agree() const {
     for (const auto& [zone, view] : rosters_) {
         for (const auto& entry : view.object.entries) {
             if (entry.layout != layout_) return false;
@@ -172,11 +201,34 @@
     return true;
 }
 
+// Forgets the earlier lists of zones once no VM divides budgets by one of them.
+void home_control::settle_layout(time_ms now) {
+    const bool read = announced_at_.value != 0 && replicated_ >= announced_at_;
+    if (!read || now < removals_clear_ || !announcements_agree()) return;
+    layouts_ = {zones_};
+    settled_once_ = true;
+}
+
 budget_amount home_control::own_part(const budget_amount& whole) const {
-    const auto part = zone_part(whole, index_of(zones_, self_.zone), zones_.size());
-    if (layout_settled()) return part;
-    const auto earlier = zone_part(whole, index_of(earlier_zones_, self_.zone), earlier_zones_.size());
-    return {std::min(part.rate, earlier.rate), std::min(part.capacity, earlier.capacity), 0};
+    if (!settled_once_) return {};
+    auto part = zone_part(whole, index_of(zones_, self_.zone), zones_.size());
+    for (const auto& zones : layouts_) {
+        const auto earlier = zone_part(whole, index_of(zones, self_.zone), zones.size());
+        part.rate = std::min(part.rate, earlier.rate);
+        part.capacity = std::min(part.capacity, earlier.capacity);
+    }
+    return part;
+}
+
+// Guards every build against a share beyond the zone's part of the budget.
+void home_control::check_part(const home_update& update) const {
+    const auto whole = wholes_.find(update.budget);
+    const auto part = whole == wholes_.end()
+                          ? budget_amount{}
+                          : zone_part(whole->second, index_of(zones_, self_.zone), zones_.size());
+    if (update.amount.rate > part.rate || update.amount.capacity > part.capacity)
+        throw budget_invariant_error(fmt::format("budget '{}': the home share exceeds the part of zone '{}'",
+                                                 update.budget, self_.zone.value));
 }
 
 // Announces the list of zones once the shares that follow from it are in force and older loans have run out.
@@ -191,8 +243,9 @@
 }
 
 std::optional<conditional_write> home_control::next_write(time_ms now) {
-    if (zones_.empty()) return std::nullopt;
-    if (leaving_ && held_.empty() && !unconfirmed_ && now >= clear_) roster_.leave();
+    // An entry replaces the one of an earlier incarnation, whose requests in flight must have ended.
+    if (zones_.empty() || !confirmed_once_) return std::nullopt;
+    if (leaving_ && released_ && !unconfirmed_ && now >= clear_) roster_.leave();
     return roster_.next_write(now);
 }
 
--- a/src/coordination/home_control.h
+++ b/src/coordination/home_control.h
@@ -3,6 +3,8 @@
 #include "coordination/zone_roster.h"
 #include "state/configuration.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,9 +70,12 @@
 /// @brief Decides which home shares this VM holds: connects the configuration, the roster of the own zone and
 /// the rosters of the other zones. Times are those of the local monotonic clock.
 ///
-/// The list of zones decides how budgets are divided. After it has changed, a VM holds the smaller of its old
-/// and its new part until every entry of every roster has announced the new list, so the parts never add up
-/// to more than the whole although VMs apply the configuration at different times.
+/// The list of zones decides how budgets are divided. After it has changed, a VM holds the smallest of the
+/// parts that follow from the lists since the last settled one, until every entry of every roster announces
+/// the new list. A new process holds nothing until then. Each VM announces its list before it reads the
+/// announcements of the others (up to the revision of its own one), so of two VMs with different lists at
+/// least one sees the difference, and the parts never add up to more than the whole although VMs apply the
+/// configuration at different times.
 class home_control {
 public:
     home_control(const peer_id& self, const std::string& boot_id);
@@ -79,6 +84,8 @@
     void update(const configuration& config);
     /// @brief Takes a replicated object; others than budget/<zone> are ignored.
     void observe(time_ms now, const object_event& object);
+    /// @brief All objects up to this revision have been passed to observe() and update().
+    void replicated(revision_id revision) { replicated_ = std::max(replicated_, revision); }
     /// @brief The owner of the buckets has applied a batch.
     void applied(const home_batch_applied& confirmation);
 
@@ -101,8 +108,10 @@
         roster_object object;
     };
 
-    [[nodiscard]] bool layout_settled() const;
+    [[nodiscard]] bool announcements_agree() const;
+    void settle_layout(time_ms now);
     [[nodiscard]] budget_amount own_part(const budget_amount& whole) const;
+    void check_part(const home_update& update) const;
     void refresh_slots(time_ms now, home_batch& batch);
     [[nodiscard]] std::vector<peer_id> lenders_of(const std::string& budget) const;
     void announce_layout(time_ms now);
@@ -113,9 +122,15 @@
     // Zones by distance: own zone, own region, then the others in configured order.
     std::vector<zone_name> zones_by_distance_;
     std::vector<zone_name> zones_;
-    // Zones by which budgets were divided before the last change; empty when this process has applied no list
-    // before.
-    std::vector<zone_name> earlier_zones_;
+    // Lists of zones since the last settled one, which is the first.
+    std::vector<std::vector<zone_name>> layouts_;
+    // All announcements agreed once, so the first of layouts_ is known to the other VMs.
+    bool settled_once_ = false;
+    // Revision of the own roster entry with the present list; 0 while it is not announced.
+    revision_id announced_at_;
+    revision_id replicated_;
+    // Earliest time at which the loans of VMs that left a roster have expired.
+    time_ms removals_clear_{INT64_MIN / 4};
     std::uint64_t layout_ = 0;
     std::map<std::string, budget_amount> wholes_;
     std::map<std::string, home_update> held_;
@@ -125,11 +140,16 @@
     std::map<std::pair<std::string, std::string>, slot_update> held_slots_;
     std::uint64_t sequence_ = 0;
     bool unconfirmed_ = false;
-    // A batch has been confirmed since the list of zones changed.
+    bool confirmed_once_ = false;
+    // A batch made after the last change of the list of zones has been sent, and confirmed.
+    bool layout_sent_ = false;
     bool layout_applied_ = false;
     // The roster was observed, or the list of zones changed, after the last batch was made.
     bool confirmation_due_ = false;
     bool leaving_ = false;
+    // A batch made after leave() has been sent, and confirmed.
+    bool release_sent_ = false;
+    bool released_ = false;
     time_ms clear_;
 };
 
--- a/src/coordination/zone_roster.h
+++ b/src/coordination/zone_roster.h
@@ -120,6 +120,7 @@
     /// revision, and that its loans given fit into the shares that follow from it
     /// (budget_manager::settled()).
     void set_layout(std::uint64_t layout) { layout_ = layout; }
+    [[nodiscard]] std::uint64_t layout() const { return layout_; }
 
     /// @brief Lowest announced layout of the listed entries. After a change of the list of zones a zone may
     /// grow its part of a budget only when every old and new zone has announced that layout.
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -324,6 +324,7 @@
     for (const auto& action : homes_->roster().take_actions(now))
         send(action);
     if (unsent_homes_) return;
+    if (node_.replica().complete()) homes_->replicated(node_.replica().revision());
     unsent_homes_ = homes_->refresh(now);
     flush_pending();
 }
