Drive drains and version moves from the object's lease holder

Cause: drains/<id> and moves/<id> were requested and applied, but nothing drove them.

Change: move_driver advances the objects by conditional writes and records each step as history/<revision>; version_judge compares versions window by window; move_evidence carries counts to the driver; the serve thread counts outcomes per route and version; lacewingctl gains 'drain end'. The codec test lacked a sample of home_handover and failed on the number of kinds; the sample is added together with that of move_evidence.

Not yet built and tested as a whole.

--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -185,9 +185,39 @@
     once_outcome outcome = once_outcome::unknown;
 };
 
-using peer_payload =
-    std::variant<ping, ack, ping_request, member_pull, member_table, object_events, object_pull,
-                 object_snapshot, loan_request, loan_grant, loan_return, home_handover, once_query, once_reply>;
+/// @brief Finished attempts of one version of a route.
+struct version_counts {
+    std::uint64_t requests = 0;
+    std::uint64_t errors = 0;
+    /// Successful attempts by latency, in the fixed buckets of add_outcome; empty buckets at the end are left
+    /// out.
+    std::vector<std::uint64_t> latency;
+};
+
+/// @brief What one VM knows about one move.
+struct move_report {
+    /// Key of the object, drains/<id> or moves/<id>.
+    std::string key;
+    /// Requests in flight to the target of a drain.
+    std::uint64_t in_flight = 0;
+    /// Cumulative since the start of the process, so a lost message loses no evidence.
+    version_counts old_version;
+    version_counts new_version;
+    /// Why the sender has judged the new version bad and stopped it; empty otherwise.
+    std::string stopped;
+};
+
+/// @brief Evidence about the moves that run, sent to their driver; the driver sends it to all VMs when it has
+/// judged a version bad.
+struct move_evidence {
+    /// Revision in force at the sender's serve thread when the counts were taken.
+    revision_id revision;
+    std::vector<move_report> reports;
+};
+
+using peer_payload = std::variant<ping, ack, ping_request, member_pull, member_table, object_events,
+                                  object_pull, object_snapshot, loan_request, loan_grant, loan_return,
+                                  home_handover, once_query, once_reply, move_evidence>;
 
 /// @brief A message between two processes.
 struct peer_message {
--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -475,8 +475,10 @@
 
 router::endpoint_view router::view(std::uint32_t endpoint) const {
     const auto& state = endpoints_[endpoint];
-    return {state.name,        state.address, state.version,          state.in_flight,
-            state.connections, state.drained, state.breaker.current()};
+    // The key is the name of the route, a slash and the name of the endpoint.
+    const auto route = std::string_view(state.key).substr(0, state.key.size() - state.name.size() - 1);
+    return {route,           state.name,        state.address, state.version,          state.generation,
+            state.in_flight, state.connections, state.drained, state.breaker.current()};
 }
 
 } // namespace lacewing
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -112,9 +112,12 @@
 
     /// @brief What an outside observer may read of an endpoint.
     struct endpoint_view {
+        std::string_view route;
         std::string_view name;
         std::string_view address;
         std::string_view version;
+        /// Compared with route_ticket::generation: the version that an attempt ran on.
+        std::uint32_t generation = 0;
         std::int64_t in_flight = 0;
         std::int64_t connections = 0;
         bool drained = false;
--- /dev/null
+++ b/src/coordination/version_judge.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "coordination/peer_message.h"
+#include "state/time_ms.h"
+
+#include <cstdint>
+#include <string>
+
+namespace lacewing {
+
+/// @brief Result of comparing a new version with the old one on one route.
+enum class version_verdict : std::uint8_t { undecided, good_enough, bad };
+
+/// @brief Adds one finished attempt.
+void add_outcome(version_counts& counts, bool failed, time_ms latency);
+/// @brief Adds the counts of another VM or another time.
+void merge(version_counts& counts, const version_counts& other);
+/// @brief Growth of cumulative counts; all of `newer` when it is not a continuation of `older`.
+version_counts growth(const version_counts& older, const version_counts& newer);
+
+/// @brief Rule that a judge applies; the fixed-size rule serves comparison runs.
+enum class judging_rule : std::uint8_t { sequential, fixed_size };
+
+struct judge_settings {
+    judging_rule rule = judging_rule::sequential;
+    /// Log likelihood ratio at which a version is bad. Wald's bound gives one false alarm in e^14, about 1.2
+    /// million, starts of the cumulative sum.
+    double bad_bound = 14;
+    /// Log likelihood ratio against a bad version that a stage needs: a bad version passes at most about 2 %
+    /// of its tests.
+    double good_bound = 4;
+    /// Smallest harm worth detecting: error rate above the old version's, and the distance of the rank
+    /// statistic from one half (0.10 is 1.5 times the latency of exponentially distributed latencies).
+    double error_margin = 0.02;
+    double rank_margin = 0.10;
+    /// Requests to the new version after which the fixed-size rule decides.
+    std::uint64_t fixed_requests = 200;
+};
+
+/// @brief Sequential comparison of two versions under the same load at the same time.
+///
+/// Each window is compared within itself, so a change of the load between windows does not count for or
+/// against a version. Small windows are joined until they hold enough requests. When the old version receives
+/// no traffic any more, its last rates stand in, with twice the margin, because they were measured at another
+/// time.
+class version_judge {
+public:
+    explicit version_judge(const judge_settings& settings = {}) : settings_(settings) {}
+
+    /// @brief Adds what both versions did in one window of about a second.
+    void add(const version_counts& old_version, const version_counts& new_version);
+    /// @brief Starts a stage: evidence for the version starts anew, evidence against it stays.
+    void enter_stage();
+    [[nodiscard]] version_verdict verdict() const;
+    /// @brief Figures on which the verdict rests.
+    [[nodiscard]] std::string evidence() const;
+
+private:
+    void add_window(const version_counts& old_version, const version_counts& new_version);
+    void decide_fixed_size();
+    void add_errors(const version_counts& old_version, const version_counts& new_version, double margin);
+    void add_latencies(const version_counts& base, const version_counts& new_version, double margin);
+
+    judge_settings settings_;
+    version_counts window_old_;
+    version_counts window_new_;
+    // Recent counts of the old version; older windows fade.
+    double old_requests_ = 0;
+    double old_errors_ = 0;
+    version_counts last_old_;
+    // Cumulative sums against the version, never below zero.
+    double error_alarm_ = 0;
+    double rank_alarm_ = 0;
+    // Log likelihood ratios of this stage; negative speaks for the version.
+    double error_ratio_ = 0;
+    double rank_ratio_ = 0;
+    version_counts stage_old_;
+    version_counts stage_new_;
+    bool bad_ = false;
+};
+
+} // namespace lacewing
--- a/src/ctl/move_commands.cpp
+++ b/src/ctl/move_commands.cpp
@@ -95,6 +95,10 @@
     }
     value["state"] = "taken_back";
     value["result"] = "cancelled by " + options.requested_by;
+    // A step like those of the driver: if this command dies here, a VM writes the record.
+    value["step"] = value["step"].asInt64() + 1;
+    value["last_step"] = "taken_back";
+    value["evidence"].append("taken_back: cancelled by " + options.requested_by);
     const auto revision = write_or_conflict(store, key, value, held->revision);
     Json::Value evidence(Json::arrayValue);
     evidence.append(
@@ -105,6 +109,32 @@
                         fmt::format("{} taken back at revision {}", key, revision.value));
 }
 
+// Returns a drained target to service: without the object nothing is drained.
+exit_status end_drain(const global_options& options, const std::string& key) {
+    auto store = open_store(options);
+    const auto held = store.get(key);
+    if (!held) throw command_error(exit_status::bad_input, key + " does not exist");
+    if (!has_ended(held->value)) {
+        throw command_error(exit_status::conflict,
+                            fmt::format("{}: still {} at revision {}, use cancel", key,
+                                        held->value["state"].asString(), held->revision.value));
+    }
+    const auto result = store.erase(key, held->revision);
+    if (!result.written) {
+        throw command_error(exit_status::conflict, fmt::format("{}: conflict, revision {} won over {}", key,
+                                                               result.revision.value, held->revision.value));
+    }
+    Json::Value evidence(Json::arrayValue);
+    evidence.append(
+        fmt::format("was {} at revision {}", held->value["state"].asString(), held->revision.value));
+    record_history(store, {key, result.revision, options.requested_by, "returned_to_service", evidence});
+    Json::Value answer;
+    answer["id"] = held->value["id"];
+    answer["changed"] = true;
+    return report_write(options, result.revision, answer,
+                        fmt::format("{} returned to service at revision {}", key, result.revision.value));
+}
+
 exit_status show(const global_options& options, const std::string& prefix, const std::string& id) {
     auto store = open_store(options);
     Json::Value answer;
@@ -230,6 +260,12 @@
         chosen = [&options, drained] { return start_drain(options, *drained); };
     });
     add_common(*drain, options, chosen, "drains/");
+    auto ended = std::make_shared<std::string>();
+    auto* end_command = drain->add_subcommand("end", "Return a drained target to service");
+    end_command->add_option("ID", *ended)->required();
+    end_command->callback([&options, &chosen, ended] {
+        chosen = [&options, ended] { return end_drain(options, "drains/" + *ended); };
+    });
 
     auto* version = app.add_subcommand("version", "Move a route's traffic from one version to another");
     version->require_subcommand(1);
--- a/src/ctl/store_access.cpp
+++ b/src/ctl/store_access.cpp
@@ -115,4 +115,37 @@
     throw store_unreachable(failure.empty() ? "store refuses a write at the current revision" : failure);
 }
 
+write_result store_access::erase(const std::string& key, revision_id expected) {
+    std::string failure;
+    bool answer_lost = false;
+    for (int attempt = 0; attempt < write_attempts; ++attempt) {
+        try {
+            const auto answer =
+                send("DELETE", "/v1/objects/" + key, {{"If-Match", fmt::format("{}", expected.value)}}, "");
+            const auto status = answer.result_int();
+            if (status != 200 && status != 412 && status != 404) fail_status("DELETE " + key, answer);
+            if (status == 200)
+                return {true, {parse_json(answer.body(), "answer of the store")["revision"].asUInt64()}};
+        } catch (const http_error& e) {
+            answer_lost = true;
+            failure = e.what();
+        }
+        const auto current = get(key);
+        const auto revision = current ? current->revision : revision_id{};
+        if (!current && answer_lost) return {true, store_revision()};
+        if (revision != expected) return {false, revision};
+    }
+    throw store_unreachable(failure.empty() ? "store refuses a deletion at the current revision" : failure);
+}
+
+revision_id store_access::store_revision() {
+    try {
+        const auto answer = send("GET", "/v1/objects?prefix=config/", {}, "");
+        if (answer.result_int() != 200) fail_status("GET with prefix config/", answer);
+        return {parse_json(answer.body(), "answer of the store")["revision"].asUInt64()};
+    } catch (const http_error& e) {
+        throw store_unreachable(e.what());
+    }
+}
+
 } // namespace lacewing::ctl
--- a/src/ctl/store_access.h
+++ b/src/ctl/store_access.h
@@ -45,8 +45,13 @@
     /// object is read back and recognised by its written_by mark.
     /// @throws store_unreachable
     write_result put(const std::string& key, Json::Value value, revision_id expected);
+    /// @brief Conditional deletion. After a lost answer an absent object counts as deleted by this call, with
+    /// the store's revision at that time.
+    /// @throws store_unreachable
+    write_result erase(const std::string& key, revision_id expected);
 
 private:
+    revision_id store_revision();
     http_response send(const std::string& method, const std::string& target, http_headers headers,
                        const std::string& body);
 
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -70,6 +70,16 @@
            std::holds_alternative<once_reply>(payload);
 }
 
+// The snapshot with a share of 0 for versions that this VM has stopped.
+std::shared_ptr<const serving_snapshot> with_stops(const std::shared_ptr<const serving_snapshot>& snapshot,
+                                                   const std::vector<stopped_version>& stopped) {
+    if (stopped.empty()) return snapshot;
+    auto changed = std::make_shared<serving_snapshot>(*snapshot);
+    for (const auto& version : stopped)
+        changed->shares.push_back({version.route, version.version, 0});
+    return changed;
+}
+
 spread_settings spread_settings_of(const process_settings& settings) {
     spread_settings spread;
     spread.membership.seeds = settings.seeds;
@@ -88,7 +98,7 @@
       link_(context_, {}, seed, [this](std::string_view text) { on_text(text); }),
       node_(self, caller_address, spread_settings_of(settings), seed, monotonic_now()),
       store_(context_.get_executor(), settings.store, self.incarnation),
-      homes_(std::in_place, self, host_boot_id()), boot_id_(host_boot_id()) {
+      homes_(std::in_place, self, host_boot_id()), moves_(std::in_place, self), boot_id_(host_boot_id()) {
     link_.listen(settings.peer_listen);
 }
 
@@ -159,6 +169,7 @@
         next_entries_ = now + entries_interval;
         refresh_entries(now);
         refresh_budgets(now);
+        refresh_moves(now);
     }
     flush_pending();
 }
@@ -172,6 +183,11 @@
             homes_->roster().on_message(monotonic_now(), message.from, *handover);
             return;
         }
+        if (const auto* evidence = std::get_if<move_evidence>(&message.payload)) {
+            moves_->receive(monotonic_now(), message.from, *evidence);
+            offer_snapshot();
+            return;
+        }
         if (concerns_serving(message.payload)) {
             push(message);
             return;
@@ -187,6 +203,10 @@
 void control_thread::on_input(control_input input) {
     if (const auto* action = std::get_if<send_action>(&input)) send(*action);
     if (const auto* confirmation = std::get_if<home_batch_applied>(&input)) homes_->applied(*confirmation);
+    if (const auto* sample = std::get_if<move_sample>(&input)) {
+        moves_->sample(monotonic_now(), *sample);
+        offer_snapshot();
+    }
 }
 
 void control_thread::carry_out(replica_actions actions) {
@@ -228,11 +248,13 @@
     const auto changed = node_.replica().take_changed_keys();
     if (!node_.replica().complete()) return;
     observe_rosters(changed);
+    observe_moves(changed);
     const auto before = builder_.config_revision();
     if (!builder_.update(node_.replica().objects(), changed, node_.replica().revision())) return;
     if (before != builder_.config_revision()) {
         log(log_level::info, "configuration_in_force", {{"revision", builder_.config_revision().value}});
         homes_->update(*builder_.snapshot()->config);
+        moves_->update(*builder_.snapshot()->config);
         zones_.clear();
         for (const auto& zone : builder_.snapshot()->config->zones)
             zones_.push_back(zone.name);
@@ -242,10 +264,65 @@
         log(log_level::error, "object_rejected",
             {{"key", key}, {"revision", rejected.revision.value}, {"reason", rejected.reason}});
     }
-    unsent_snapshot_ = builder_.snapshot();
+    stopped_ = moves_->stopped();
+    unsent_snapshot_ = with_stops(builder_.snapshot(), stopped_);
     flush_pending();
 }
 
+void control_thread::observe_moves(const std::vector<std::string>& changed) {
+    const auto now = monotonic_now();
+    for (const auto& key : changed) {
+        const auto found = node_.replica().objects().find(key);
+        moves_->observe(now, found != node_.replica().objects().end()
+                                 ? found->second
+                                 : object_event{key, node_.replica().revision(), nullptr});
+    }
+}
+
+// Puts a version that this VM has stopped, or no longer stops, into force.
+void control_thread::offer_snapshot() {
+    auto stopped = moves_->stopped();
+    if (stopped == stopped_ || !builder_.snapshot()) return;
+    for (const auto& version : stopped)
+        log(log_level::warn, "version_stopped",
+            {{"route", version.route.value}, {"version", version.version}});
+    stopped_ = std::move(stopped);
+    unsent_snapshot_ = with_stops(builder_.snapshot(), stopped_);
+    flush_pending();
+}
+
+void control_thread::refresh_moves(time_ms now) {
+    std::vector<fleet_vm> fleet;
+    for (const auto& record : node_.members().records()) {
+        if (record.state == member_state::dead) continue;
+        const bool own = record.id.incarnation == node_.self().incarnation;
+        fleet.push_back({record.id, own ? node_.replica().revision() : record.revision});
+    }
+    moves_->set_fleet(std::move(fleet));
+    auto actions = moves_->tick(now);
+    // A VM that leaves reports until its end, but lets its leases lapse.
+    if (leaving_) actions.writes.clear();
+    for (const auto& action : actions.sends)
+        send(action);
+    for (auto& write : actions.writes)
+        asio::co_spawn(context_, write_move(std::move(write)), asio::detached);
+    offer_snapshot();
+}
+
+asio::awaitable<void> control_thread::write_move(conditional_write write) {
+    // The value is unchanged in `write`, by which the driver recognises the result.
+    const auto result = co_await store_.put(write.key, write.value, write.expected);
+    const auto now = monotonic_now();
+    if (const auto* done = std::get_if<store_done>(&result)) {
+        log(log_level::info, "move_step_written", {{"key", write.key}, {"revision", done->revision.value}});
+        moves_->written(now, write, write_outcome::done, done->revision);
+    } else if (std::holds_alternative<store_conflict>(result)) {
+        moves_->written(now, write, write_outcome::conflict, {});
+    } else {
+        moves_->written(now, write, write_outcome::unknown, {});
+    }
+}
+
 void control_thread::observe_rosters(const std::vector<std::string>& changed) {
     const auto now = monotonic_now();
     for (const auto& key : changed) {
@@ -349,12 +426,17 @@
     node_.rejoin(fresh, now);
     push(new_incarnation{node_.self()});
     homes_.emplace(node_.self(), boot_id_);
+    moves_.emplace(node_.self());
     unsent_homes_.reset();
-    if (builder_.snapshot()) homes_->update(*builder_.snapshot()->config);
+    if (builder_.snapshot()) {
+        homes_->update(*builder_.snapshot()->config);
+        moves_->update(*builder_.snapshot()->config);
+    }
     std::vector<std::string> keys;
     for (const auto& [key, object] : node_.replica().objects())
         keys.push_back(key);
     observe_rosters(keys);
+    observe_moves(keys);
 }
 
 std::string control_thread::readiness() const {
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -56,6 +56,7 @@
     boost::asio::awaitable<void> leave_steps(std::function<void()> finished);
     boost::asio::awaitable<void> call_store(store_action action);
     boost::asio::awaitable<void> write_roster(conditional_write write);
+    boost::asio::awaitable<void> write_move(conditional_write write);
     void tick();
     void on_text(std::string_view text);
     void on_input(control_input input);
@@ -69,6 +70,9 @@
     void refresh_entries(time_ms now);
     void refresh_budgets(time_ms now);
     void rejoin_if_fenced(time_ms now);
+    void observe_moves(const std::vector<std::string>& changed);
+    void refresh_moves(time_ms now);
+    void offer_snapshot();
 
     boost::asio::io_context context_{1};
     process_settings settings_;
@@ -83,6 +87,8 @@
     store_client store_;
     snapshot_builder builder_;
     std::optional<home_control> homes_;
+    std::optional<move_driver> moves_;
+    std::vector<stopped_version> stopped_;
     std::string boot_id_;
     std::vector<zone_name> zones_;
     bool leaving_ = false;
--- a/src/daemon/serve_state.cpp
+++ b/src/daemon/serve_state.cpp
@@ -22,6 +22,7 @@
 // Longest time that a request waits for a loan (design 4.4).
 constexpr time_ms budget_wait_limit{150};
 constexpr time_ms slot_refresh_interval{50};
+constexpr time_ms move_sample_interval{1000};
 
 // In the order of circuit_breaker::state.
 constexpr std::array breaker_names{"closed", "open", "half_open"};
@@ -441,12 +442,45 @@
 }
 
 void serve_state::finish_attempt(const route_ticket& ticket, const attempt_result& result) {
+    count_outcome(ticket, result);
     router_->finish(monotonic_now(), ticket, result);
     for (std::uint32_t route = 0; route < queues_.size(); ++route) {
         if (queues_[route].size() > 0) dispatch_queue(route);
     }
 }
 
+// Counts an attempt as evidence for version moves. A shed request counts as an error: a version that refuses
+// more than the other one under the same load serves less.
+void serve_state::count_outcome(const route_ticket& ticket, const attempt_result& result) {
+    if (snapshot_->shares.empty() || result.outcome == attempt_outcome::neutral) return;
+    const auto endpoint = router_->view(ticket.endpoint);
+    if (endpoint.generation != ticket.generation) return;
+    auto& counts = outcomes_[{std::string(endpoint.route), std::string(endpoint.version)}];
+    add_outcome(counts, result.outcome != attempt_outcome::success, result.latency);
+}
+
+// Hands the control thread what moves need; a sample that does not fit into the ring is replaced by the next.
+void serve_state::send_move_sample(time_ms now) {
+    if (!snapshot_ || now < next_move_sample_) return;
+    next_move_sample_ = now + move_sample_interval;
+    if (snapshot_->shares.empty()) outcomes_.clear();
+    if (snapshot_->shares.empty() && snapshot_->drained.empty()) return;
+    move_sample sample;
+    sample.revision = snapshot_->revision;
+    for (const auto& [name, counts] : outcomes_)
+        sample.versions.push_back({{name.first}, name.second, counts});
+    for (const auto& route : snapshot_->config->routes) {
+        for (const auto& listed : route.endpoints) {
+            const auto number = router_->find_endpoint(route.name.value, listed.name.value);
+            if (!number) continue;
+            const auto state = router_->view(*number);
+            if (state.drained && state.in_flight > 0)
+                sample.drained.push_back({listed.name, static_cast<std::uint64_t>(state.in_flight)});
+        }
+    }
+    send_(std::move(sample));
+}
+
 // Hands free endpoints to the requests that wait for them.
 void serve_state::dispatch_queue(std::uint32_t route) {
     const auto now = monotonic_now();
@@ -520,6 +554,7 @@
     }
     if (now - slots_refreshed_ >= slot_refresh_interval) apply_slot_shares(now);
     confirm_batch();
+    send_move_sample(now);
     pool_.close_expired(now);
     std::vector<once_queries::answered> unanswered;
     queries_.expire(now, unanswered);
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -217,6 +217,8 @@
     };
 
     void finish_attempt(const route_ticket& ticket, const attempt_result& result);
+    void count_outcome(const route_ticket& ticket, const attempt_result& result);
+    void send_move_sample(time_ms now);
     void dispatch_queue(std::uint32_t route);
     void refuse_waiters(const std::vector<std::uint64_t>& ids);
     void arm_budget_timer();
@@ -246,6 +248,9 @@
     // By route and endpoint name.
     std::map<std::pair<std::string, std::string>, slot_update> slot_shares_;
     std::optional<home_batch_applied> unconfirmed_;
+    // By route and version, counted while version moves are stored.
+    std::map<std::pair<std::string, std::string>, version_counts> outcomes_;
+    time_ms next_move_sample_;
     time_ms slots_refreshed_;
     std::vector<admission_queue> queues_;
     std::unordered_map<std::uint64_t, slot_waiter*> slot_waiters_;
--- a/src/daemon/thread_messages.h
+++ b/src/daemon/thread_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/home_control.h"
+#include "coordination/move_driver.h"
 #include "coordination/peer_message.h"
 #include "coordination/serving_snapshot.h"
 #include "daemon/entry_view.h"
@@ -31,6 +32,6 @@
                  std::shared_ptr<const entry_view>, peer_message, home_batch, stop_stage, new_incarnation>;
 
 /// @brief Input of the control thread from the serve thread.
-using control_input = std::variant<std::monostate, send_action, home_batch_applied>;
+using control_input = std::variant<std::monostate, send_action, home_batch_applied, move_sample>;
 
 } // namespace lacewing
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -20,8 +20,9 @@
 
 // Method names in the order of the alternatives of peer_payload (design, 5.3).
 constexpr std::array<const char*, std::variant_size_v<peer_payload>> method_names{
-    "ping",     "ack",          "ping_req",   "member_pull", "member_table",  "events",     "pull",
-    "snapshot", "loan_request", "loan_grant", "loan_return", "home_handover", "once_query", "once_reply"};
+    "ping",        "ack",           "ping_req",   "member_pull",  "member_table",
+    "events",      "pull",          "snapshot",   "loan_request", "loan_grant",
+    "loan_return", "home_handover", "once_query", "once_reply",   "move_evidence"};
 
 // One list of fields per structure serves encoding and decoding.
 template <class Archive>
@@ -164,6 +165,28 @@
     a("outcome", v.outcome);
 }
 
+template <class Archive>
+void fields(Archive& a, version_counts& v) {
+    a("requests", v.requests);
+    a("errors", v.errors);
+    a("latency", v.latency);
+}
+
+template <class Archive>
+void fields(Archive& a, move_report& v) {
+    a("key", v.key);
+    a("in_flight", v.in_flight);
+    a("old", v.old_version);
+    a("new", v.new_version);
+    a("stopped", v.stopped);
+}
+
+template <class Archive>
+void fields(Archive& a, move_evidence& v) {
+    a("revision", v.revision.value);
+    a("reports", v.reports);
+}
+
 class writer {
 public:
     template <class T>
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -27,8 +27,10 @@
             loan_request{"rate/a", 5, {-1, 2, 3}},
             loan_grant{"rate/a", 5, 6, {1, 2, 3}, {3000}},
             loan_return{"rate/a", 6, 1},
+            home_handover{true},
             once_query{8, "0123-x"},
-            once_reply{8, once_outcome::not_run}};
+            once_reply{8, once_outcome::not_run},
+            move_evidence{{12}, {{"moves/a", 3, {5, 1, {0, 4}}, {2, 0, {2}}, "errors"}}}};
 }
 
 void replace(std::string& text, const std::string& from, const std::string& to) {
