Add lacewing-bench moves and keep a comparison share in the last stage

Cause: with all requests on the new version there is nothing to compare with.

The driver keeps the fields it reads at every tick parsed.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -22,4 +22,7 @@
 /// @brief Measures the router and compares selection rules on one simulated load.
 int run_routing(std::uint64_t seed);
 
+/// @brief Compares judging and pacing rules for version moves.
+int run_moves(std::uint64_t seed);
+
 } // namespace lacewing::bench
--- a/src/coordination/move_driver.cpp
+++ b/src/coordination/move_driver.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view history_prefix = "history/";
 constexpr std::array<std::int64_t, 5> standard_percent{1, 5, 25, 50, 100};
 constexpr std::int64_t ppm_per_percent = 10'000;
+constexpr std::int64_t whole_ppm = 100 * ppm_per_percent;
 // Bounds the evidence message; moves beyond it are reported in turn of their keys once others have ended.
 constexpr std::size_t max_reports = 32;
 // Bounds the object, of which one may have 1 MB; older entries remain in the history records.
@@ -79,7 +80,7 @@
 }
 
 move_driver::move_driver(peer_id self, const move_settings& settings)
-    : self_(std::move(self)), settings_(settings) {}
+    : self_(std::move(self)), own_hex_(to_hex(self_.incarnation)), settings_(settings) {}
 
 void move_driver::observe(time_ms now, const object_event& object) {
     const bool drain = object.key.starts_with(drains_prefix);
@@ -111,7 +112,18 @@
     move.seen = now;
     move.value = std::move(*value);
     move.recorded = false;
-    const bool own = text_of(move.value["driver"]["incarnation"]) == to_hex(self_.incarnation);
+    move.route = text_of(move.value["route"]);
+    move.from = text_of(move.value["from"]);
+    move.to = text_of(move.value["to"]);
+    // Reading a member of a value that is not constant would create it.
+    const auto& lease = std::as_const(move.value)["driver"];
+    move.driver = lease.isObject() ? text_of(lease["incarnation"]) : std::string();
+    move.stages = stage_shares(move.value["cap_percent"]);
+    move.deadline = time_ms{number_of(move.value["deadline_s"]) * 1000};
+    move.ended = has_ended(move.value);
+    move.watched = watched(move.value);
+    move.needs_driver = !move.ended || record_due(move.value) || move.watched;
+    const bool own = move.driver == own_hex_;
     if (own && !move.driving) {
         // Evidence that the earlier driver had in memory is gone; the stage collects its own.
         move.fleet_judge = version_judge(settings_.judge);
@@ -170,19 +182,19 @@
 void move_driver::judge_own(move_state& move, const move_sample& sample) {
     version_counts old_now;
     version_counts new_now;
-    const auto route = text_of(move.value["route"]);
+    if (!move.needs_driver) return;
     for (const auto& entry : sample.versions) {
-        if (entry.route.value != route) continue;
-        if (entry.version == text_of(move.value["from"])) old_now = entry.counts;
-        if (entry.version == text_of(move.value["to"])) new_now = entry.counts;
+        if (entry.route.value != move.route) continue;
+        if (entry.version == move.from) old_now = entry.counts;
+        if (entry.version == move.to) new_now = entry.counts;
     }
     // What the versions did before the move is not evidence about it.
-    if (std::exchange(move.sampled, true) && needs_driver(move))
+    if (std::exchange(move.sampled, true))
         move.own_judge.add(growth(move.own_old, old_now), growth(move.own_new, new_now));
     move.own_old = std::move(old_now);
     move.own_new = std::move(new_now);
-    if (move.stop_reason.empty() && needs_driver(move) && old_version_stands(move) &&
-        move.own_judge.verdict() == version_verdict::bad)
+    if (move.stop_reason.empty() && move.own_judge.verdict() == version_verdict::bad &&
+        old_version_stands(move))
         move.stop_reason = fmt::format("judged bad by {}: {}", self_.vm.value, move.own_judge.evidence());
 }
 
@@ -193,7 +205,7 @@
         auto& move = found->second;
         if (!move.driving) {
             // Only the driver speaks for the fleet.
-            const bool driver = text_of(move.value["driver"]["incarnation"]) == to_hex(from.incarnation);
+            const bool driver = move.driver == to_hex(from.incarnation);
             if (driver && !move.drain && !report.stopped.empty() && old_version_stands(move))
                 move.stop_reason = report.stopped;
             continue;
@@ -215,11 +227,6 @@
     return time_ms{number_of(move.value["elapsed_ms"])} + (now - move.seen);
 }
 
-// Whether anything is left to do for a move.
-bool move_driver::needs_driver(const move_state& move) const {
-    return !has_ended(move.value) || record_due(move.value) || watched(move.value);
-}
-
 // Whether the lease has lapsed by this VM's own clock. VMs take their turns, so that one of them writes.
 bool move_driver::may_take_over(time_ms now, const move_state& move) const {
     const auto own = rendezvous_weight(move.key, self_.incarnation);
@@ -227,12 +234,12 @@
         return rendezvous_weight(move.key, vm.id.incarnation) > own;
     });
     const auto turn = settings_.takeover_stagger * before;
-    const bool leased = move.value["driver"].isObject();
+    const bool leased = !move.driver.empty();
     return now - move.seen >= (leased ? settings_.lease + settings_.lease_drift : time_ms{}) + turn;
 }
 
 bool move_driver::old_version_stands(const move_state& move) const {
-    return versions_.contains({text_of(move.value["route"]), text_of(move.value["from"])});
+    return versions_.contains({move.route, move.from});
 }
 
 std::size_t move_driver::fresh_reports(time_ms now, const move_state& move) const {
@@ -260,7 +267,7 @@
 move_actions move_driver::tick(time_ms now) {
     move_actions out;
     for (auto& [key, move] : moves_) {
-        if (!needs_driver(move)) continue;
+        if (!move.needs_driver) continue;
         if (move.pending && now - move.pending_since < settings_.write_retry) continue;
         if (move.driving) {
             drive(now, move, out);
@@ -276,7 +283,7 @@
                 value["recorded_step"] = value["step"];
             }
             if (text_of(value["state"]) == "requested") {
-                made = decision{"running", fmt::format("taken up by {}", self_.vm.value)};
+                made = decision{"running", fmt::format("taken up by {}", self_.vm.value), {}};
                 value["state"] = "running";
                 value["in_force_revision"] = Json::UInt64(move.revision.value);
                 if (!move.drain) {
@@ -298,26 +305,19 @@
         record(now, move, out);
         return;
     }
-    auto value = move.value;
     std::optional<decision> made;
     if (move.drain) {
         made = decide_drain(now, move);
-        if (made) {
-            value["state"] = made->step;
-            value["result"] = made->evidence;
-        }
     } else {
         judge_fleet(now, move);
-        made = decide_version(now, move, value);
-    }
-    const bool ends_watch = watched(move.value) && !watched(value);
-    const bool renews = now - move.seen >= settings_.lease / 3 && !has_ended(move.value);
-    const bool renews_watch = now - move.seen >= settings_.lease / 3 && watched(move.value);
-    const bool confirms = record_due(value) && has_ended(value);
-    if (made || ends_watch || renews || renews_watch || confirms) {
-        if (record_due(value)) value["recorded_step"] = value["step"];
-        write(now, move, std::move(value), made, out);
+        made = decide_version(now, move);
     }
+    const bool renews = now - move.seen >= settings_.lease / 3 && (!move.ended || move.watched);
+    const bool confirms = move.ended && record_due(move.value);
+    if (!made && !renews && !confirms) return;
+    auto value = move.value;
+    if (record_due(value)) value["recorded_step"] = value["step"];
+    write(now, move, std::move(value), made, out);
 }
 
 std::optional<move_driver::decision> move_driver::decide_drain(time_ms now, const move_state& move) const {
@@ -336,15 +336,14 @@
         }
     }
     if (missing.empty() && !fleet_.empty())
-        return decision{"done", fmt::format("no request in flight on {} VMs at revision {} or later",
-                                            fleet_.size(), required)};
-    if (elapsed(now, move) >= time_ms{number_of(move.value["deadline_s"]) * 1000})
-        return decision{"taken_back", "deadline passed;" + missing};
+        return ending("done", fmt::format("no request in flight on {} VMs at revision {} or later",
+                                          fleet_.size(), required));
+    if (elapsed(now, move) >= move.deadline) return ending("taken_back", "deadline passed;" + missing);
     return std::nullopt;
 }
 
 // Reason of any VM that has stopped the version, or of the fleet's judge.
-std::string move_driver::reported_bad(time_ms /*now*/, const move_state& move) const {
+std::string move_driver::reported_bad(const move_state& move) {
     if (!move.stop_reason.empty()) return move.stop_reason;
     for (const auto& [vm, held] : move.reports) {
         if (!held.report.stopped.empty()) return held.report.stopped;
@@ -354,6 +353,11 @@
     return {};
 }
 
+std::string move_driver::evidence_of(time_ms now, const move_state& move) const {
+    return fmt::format("{}; {} of {} VMs reporting", move.fleet_judge.evidence(), fresh_reports(now, move),
+                       fleet_.size());
+}
+
 bool move_driver::stage_may_end(time_ms now, const move_state& move) const {
     if (fresh_reports(now, move) * 100 <
         fleet_.size() * static_cast<std::size_t>(settings_.reporting_percent))
@@ -366,57 +370,58 @@
     case pacing_rule::immediate:
         return true;
     case pacing_rule::even: {
-        const auto stages = static_cast<std::int64_t>(stage_shares(move.value["cap_percent"]).size());
-        return held >= time_ms{number_of(move.value["deadline_s"]) * 1000 / (stages + 1)};
+        const auto stages = static_cast<std::int64_t>(move.stages.size());
+        return held >= move.deadline / (stages + 1);
     }
     }
     return false;
 }
 
-std::optional<move_driver::decision> move_driver::decide_version(time_ms now, move_state& move,
-                                                                 Json::Value& value) const {
-    const auto reason = reported_bad(now, move);
-    if (watched(value)) {
+std::optional<move_driver::decision> move_driver::decide_version(time_ms now, move_state& move) const {
+    const auto reason = reported_bad(move);
+    if (move.watched) {
         if (!reason.empty() && old_version_stands(move)) {
-            value["share_ppm"] = 0;
-            value["watching"] = false;
-            value["reverted_after_done"] = reason;
             move.stop_reason = reason;
-            return decision{"reverted_after_done", reason};
+            return decision{"reverted_after_done",
+                            reason,
+                            {{"share_ppm", 0}, {"watching", false}, {"reverted_after_done", reason}}};
         }
-        if (elapsed(now, move) >= time_ms{number_of(value["watch_until_ms"])}) value["watching"] = false;
-        return std::nullopt;
+        if (elapsed(now, move) < time_ms{number_of(move.value["watch_until_ms"])}) return std::nullopt;
+        return decision{"watch_ended",
+                        move.fleet_judge.evidence(),
+                        {{"watching", false}, {"share_ppm", Json::Int64(move.stages.back())}}};
     }
-    if (has_ended(value)) return std::nullopt;
-    const auto take_back = [&](const std::string& why) {
-        value["state"] = "taken_back";
-        value["result"] = why;
-        value["share_ppm"] = 0;
-        return decision{"taken_back", why};
-    };
+    if (move.ended) return std::nullopt;
     if (!reason.empty()) {
         move.stop_reason = reason;
-        return take_back(reason);
+        auto back = ending("taken_back", reason);
+        back.changes.emplace_back("share_ppm", 0);
+        return back;
     }
-    const auto evidence = fmt::format("{}; {} of {} VMs reporting", move.fleet_judge.evidence(),
-                                      fresh_reports(now, move), fleet_.size());
-    const auto shares = stage_shares(value["cap_percent"]);
-    const auto next = static_cast<std::size_t>(number_of(value["stage"])) + 1;
+    const auto next = static_cast<std::size_t>(number_of(move.value["stage"])) + 1;
     if (stage_may_end(now, move)) {
-        if (next < shares.size()) {
-            value["stage"] = Json::UInt64(next);
-            value["share_ppm"] = Json::Int64(shares[next]);
-            return decision{fmt::format("stage {}", next + 1), evidence};
+        const auto evidence = evidence_of(now, move);
+        if (next < move.stages.size()) {
+            const auto share = std::min(move.stages[next], whole_ppm - settings_.comparison_ppm);
+            return decision{fmt::format("stage {}", next + 1),
+                            evidence,
+                            {{"stage", Json::UInt64(next)}, {"share_ppm", Json::Int64(share)}}};
         }
-        value["state"] = "done";
-        value["result"] = evidence;
-        value["watching"] = true;
-        value["watch_until_ms"] = Json::Int64((elapsed(now, move) + settings_.watch_after_done).count);
-        return decision{"done", evidence};
+        auto done = ending("done", evidence);
+        done.changes.emplace_back("watching", true);
+        done.changes.emplace_back("watch_until_ms",
+                                  Json::Int64((elapsed(now, move) + settings_.watch_after_done).count));
+        return done;
     }
-    if (elapsed(now, move) >= time_ms{number_of(value["deadline_s"]) * 1000})
-        return take_back("deadline passed without enough evidence: " + evidence);
-    return std::nullopt;
+    if (elapsed(now, move) < move.deadline) return std::nullopt;
+    auto back = ending("taken_back", "deadline passed without enough evidence: " + evidence_of(now, move));
+    back.changes.emplace_back("share_ppm", 0);
+    return back;
+}
+
+// The declared result of a move.
+move_driver::decision move_driver::ending(const std::string& state, const std::string& reason) {
+    return {state, reason, {{"state", state}, {"result", reason}}};
 }
 
 // Writes the object with a renewed lease and, when a decision was made, its evidence.
@@ -428,6 +433,8 @@
     value["driver"]["vm"] = self_.vm.value;
     value["driver"]["lease_s"] = Json::Int64(settings_.lease.count / 1000);
     if (made) {
+        for (const auto& [name, changed] : made->changes)
+            value[name] = changed;
         value["step"] = Json::Int64(number_of(value["step"]) + 1);
         value["last_step"] = made->step;
         auto& entries = value["evidence"];
@@ -488,10 +495,10 @@
     move_evidence stops;
     std::size_t count = 0;
     for (const auto& [key, move] : moves_) {
-        if (!needs_driver(move) || count == max_reports) continue;
+        if (!move.needs_driver || count == max_reports) continue;
         ++count;
         if (move.driving) {
-            const auto reason = move.drain ? std::string() : reported_bad(now, move);
+            const auto reason = move.drain ? std::string() : reported_bad(move);
             if (!reason.empty()) stops.reports.push_back({key, 0, {}, {}, reason});
             continue;
         }
@@ -518,7 +525,7 @@
     for (const auto& [key, move] : moves_) {
         // The stored share of 0 takes over once the move has been taken back.
         if (!move.stop_reason.empty() && number_of(move.value["share_ppm"]) > 0)
-            result.push_back({{text_of(move.value["route"])}, text_of(move.value["to"])});
+            result.push_back({{move.route}, move.to});
     }
     return result;
 }
--- a/src/coordination/move_driver.h
+++ b/src/coordination/move_driver.h
@@ -42,6 +42,9 @@
     time_ms report_age{3500};
     /// Time for which a stage is held at least, for faults that show late.
     time_ms min_stage{10'000};
+    /// Share of the requests, in millionths, that the old version keeps in the last stage and while the new
+    /// version is watched: without requests at the same time there is nothing to compare with.
+    std::int64_t comparison_ppm = 10'000;
     /// Time for which a version is watched after done.
     time_ms watch_after_done{300'000};
     /// Time after which a write without a known result is tried again.
@@ -136,6 +139,16 @@
         time_ms seen;
         Json::Value value;
         std::string request;
+        // Read from the value once, because they are used at every tick.
+        std::string route;
+        std::string from;
+        std::string to;
+        std::string driver;
+        std::vector<std::int64_t> stages;
+        time_ms deadline;
+        bool needs_driver = false;
+        bool watched = false;
+        bool ended = false;
         // Own measurements.
         version_judge own_judge;
         version_counts own_old;
@@ -157,10 +170,11 @@
     struct decision {
         std::string step;
         std::string evidence;
+        /// Members of the object that change with the step.
+        std::vector<std::pair<const char*, Json::Value>> changes;
     };
 
     [[nodiscard]] time_ms elapsed(time_ms now, const move_state& move) const;
-    [[nodiscard]] bool needs_driver(const move_state& move) const;
     [[nodiscard]] bool may_take_over(time_ms now, const move_state& move) const;
     [[nodiscard]] std::uint64_t in_flight_to(const Json::Value& target, const move_sample& sample) const;
     [[nodiscard]] bool old_version_stands(const move_state& move) const;
@@ -169,15 +183,18 @@
     void judge_fleet(time_ms now, move_state& move);
     void drive(time_ms now, move_state& move, move_actions& out);
     std::optional<decision> decide_drain(time_ms now, const move_state& move) const;
-    std::optional<decision> decide_version(time_ms now, move_state& move, Json::Value& value) const;
-    [[nodiscard]] std::string reported_bad(time_ms now, const move_state& move) const;
+    std::optional<decision> decide_version(time_ms now, move_state& move) const;
+    [[nodiscard]] static std::string reported_bad(const move_state& move);
+    [[nodiscard]] std::string evidence_of(time_ms now, const move_state& move) const;
     [[nodiscard]] bool stage_may_end(time_ms now, const move_state& move) const;
     void write(time_ms now, move_state& move, Json::Value value, const std::optional<decision>& made,
                move_actions& out) const;
+    static decision ending(const std::string& state, const std::string& reason);
     static void record(time_ms now, move_state& move, move_actions& out);
     void report(time_ms now, move_actions& out);
 
     peer_id self_;
+    std::string own_hex_;
     move_settings settings_;
     std::map<std::string, move_state> moves_;
     std::vector<fleet_vm> fleet_;
