--- a/src/coordination/home_control.cpp
+++ b/src/coordination/home_control.cpp
@@ -243,7 +243,8 @@
 }
 
 bool home_control::ready(time_ms now) const {
-    if (!roster_.established() || unconfirmed_ || confirmation_due_ || !layout_settled()) return false;
+    if (!roster_.established() || unconfirmed_ || confirmation_due_ || !settled_once_ || layouts_.size() != 1)
+        return false;
     return std::all_of(held_.begin(), held_.end(),
                        [now](const auto& share) { return share.second.usable_from <= now; });
 }
