Check withdrawn keys and the outage verdict across faults

Change: a withdrawn key is looked up through key list, replica and freshness on all nine VMs from 3 s after each withdrawal on, in five settings (no fault; a zone cut from the store only; a zone cut from its peers only; lost and late messages and store answers; a cut zone with lost messages). The random runs demand that nobody serves by the outage policy while a VM within hearing has known a newer revision for 3 s, or while a zone has been out of hearing for 3 s. A starting replica must ask three peers and the store at once and keep the newest answer, and a suspicion from before a short pause must start anew.

--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -1,6 +1,9 @@
 #include "fake_fleet.h"
+#include "state/key_list.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <functional>
 #include <set>
 
 using namespace lacewing;
@@ -110,8 +113,8 @@
         CHECK(fleet.node(0).members().find(before[1])->state == member_state::dead);
         const auto unchanged = [&] {
             for (const auto& vm : fleet.vms) {
-                CHECK(vm.node->members().status(fleet.clock(vm.number)) == membership_status::member);
-                CHECK(vm.node->self().incarnation == before[vm.number]);
+                REQUIRE(vm.node->members().status(fleet.clock(vm.number)) == membership_status::member);
+                REQUIRE(vm.node->self().incarnation == before[vm.number]);
             }
         };
         unchanged();
@@ -146,6 +149,20 @@
     CHECK(fleet.node(2).self().incarnation == before);
 }
 
+TEST_CASE("a suspicion from before a short pause becomes a death at the first tick after it") {
+    fake_fleet fleet(2, 3, 6);
+    REQUIRE(fleet.settle());
+    const auto suspect = fleet.node(4).self().incarnation;
+    fleet.split([](std::size_t vm) { return vm == 4; });
+    REQUIRE(fleet.run_until(second * 10, [&] { return !fleet.node(2).members().trusted(suspect); }));
+    fleet.run(second);
+    fleet.network.cut = {};
+    fleet.vms[2].paused = true;
+    fleet.run(time_ms{4500});
+    fleet.vms[2].paused = false;
+    fleet.run(second * 15, [&] { CHECK(fleet.lists(2, 6)); });
+}
+
 TEST_CASE("a one-way cut between two VMs makes one of them dead") {
     fake_fleet fleet(2, 3, 7);
     REQUIRE(fleet.settle());
@@ -210,6 +227,97 @@
     }
 }
 
+namespace {
+
+// Key lists of all VMs, built from their replicas as the daemon does.
+struct key_fleet {
+    fake_fleet fleet;
+    std::vector<key_list_builder> builders = std::vector<key_list_builder>(9);
+
+    explicit key_fleet(std::uint64_t seed) : fleet(3, 3, seed) {}
+
+    revision_id write(const std::string& account, const std::string& key) {
+        const auto digests = key.empty() ? "" : "\"" + to_hex(digest_of(key)) + "\"";
+        return fleet.store.write("keys/" + account,
+                                 R"({"account":")" + account + R"(","digests":[)" + digests + "]}");
+    }
+    bool accepts(std::size_t vm, const std::string& key) {
+        auto& replica = fleet.node(vm).replica();
+        for (const auto& changed : replica.take_changed_keys()) {
+            builders[vm].apply(replica.objects().at(changed));
+        }
+        return serves(fleet.verdict(vm)) && builders[vm].build()->find(digest_of(key)).has_value();
+    }
+};
+
+// Withdraws a key ten times and looks at every VM from 3 s after each withdrawal on.
+void withdraw_keys_once(std::uint64_t seed, const std::function<void(fake_fleet&)>& prepare) {
+    CAPTURE(seed);
+    key_fleet keys(seed);
+    auto& fleet = keys.fleet;
+    REQUIRE(fleet.settle());
+    prepare(fleet);
+    for (int i = 0; i < 10; ++i) {
+        const auto key = "key" + std::to_string(i);
+        keys.write("a", key);
+        // Without this the check below would also hold for a fleet that accepts no key at all.
+        for (std::size_t vm = 0; vm < 9; ++vm) {
+            REQUIRE(fleet.run_until(second * 20, [&] { return keys.accepts(vm, key); }));
+        }
+        if (i % 2 == 0) {
+            keys.write("a", "");
+        } else {
+            fleet.store.write("keys/a", std::nullopt);
+        }
+        fleet.run(second * 3);
+        fleet.run(second * 4, [&] {
+            for (std::size_t vm = 0; vm < 9; ++vm) {
+                if (keys.accepts(vm, key)) {
+                    FAIL("accepted by vm " << vm);
+                }
+            }
+        });
+    }
+}
+
+void withdraw_keys(const std::function<void(fake_fleet&)>& prepare) {
+    for (std::uint64_t seed = 31; seed <= 34; ++seed) {
+        withdraw_keys_once(seed, prepare);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a withdrawn key is still accepted 3 s after the withdrawal on a VM that can hear of it") {
+    const auto cut_zone_b_from_store = [](fake_fleet& fleet) {
+        for (const std::size_t vm : {1U, 4U, 7U}) {
+            fleet.vms[vm].store_cut = true;
+        }
+    };
+    const auto lose = [](fake_fleet& fleet) {
+        fleet.network.current = {time_ms{1}, time_ms{200}, 100, 50};
+        fleet.store.loss = 200;
+    };
+    SUBCASE("every zone reaches the store") {
+        withdraw_keys([](fake_fleet&) {});
+    }
+    SUBCASE("one zone is cut from the store only") {
+        withdraw_keys(cut_zone_b_from_store);
+    }
+    SUBCASE("one zone is cut from its peers only") {
+        withdraw_keys([](fake_fleet& fleet) { fleet.split([](std::size_t vm) { return vm % 3 == 1; }); });
+    }
+    SUBCASE("messages and store answers are lost and late") {
+        withdraw_keys(lose);
+    }
+    SUBCASE("a zone is cut from the store and messages are lost") {
+        withdraw_keys([&](fake_fleet& fleet) {
+            cut_zone_b_from_store(fleet);
+            lose(fleet);
+        });
+    }
+}
+
 TEST_CASE("a store outage is taken for a partition, or for freshness beyond its bound") {
     fake_fleet fleet(3, 3, 11);
     REQUIRE(fleet.settle());
@@ -252,6 +360,38 @@
                           [&] { return fleet.verdict(4) == key_verdict::serve_under_outage_policy; }));
 }
 
+TEST_CASE("a starting replica asks one source only, or keeps an answer that is not the newest") {
+    std::vector<peer_id> peers;
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+        peers.push_back({{"vm" + std::to_string(i)}, {"a"}, fake_fleet::address(i), {i}});
+    }
+    const peer_id self{{"vm9"}, {"a"}, fake_fleet::address(9), {9}};
+    object_replica replica(self, {}, 1, {0});
+    const auto asked = [&](time_ms now, std::size_t& store_calls) {
+        replica_actions out;
+        replica.tick(now, {}, false, peers, out);
+        std::set<std::string> addresses;
+        for (const auto& action : out.sends) {
+            REQUIRE(std::holds_alternative<object_pull>(action.payload));
+            addresses.insert(action.to.address);
+        }
+        store_calls = out.store_calls.size();
+        return addresses.size();
+    };
+    std::size_t store_calls = 0;
+    CHECK(asked({0}, store_calls) == 3);
+    CHECK(store_calls == 1);
+    CHECK(asked({500}, store_calls) == 0);
+    CHECK(asked({1000}, store_calls) == 3);
+    for (const std::uint64_t revision : {5U, 7U, 6U}) {
+        replica_actions out;
+        const object_snapshot answer{{revision}, 0, 1, {{"keys/x", {revision}, nullptr}}};
+        replica.receive({peers[revision - 4], self.incarnation, answer}, {1010}, {}, out);
+    }
+    CHECK(replica.revision() == revision_id{7});
+    CHECK(asked({3000}, store_calls) == 0);
+}
+
 TEST_CASE("store answers that are lost, late or out of order stop or revert the replica") {
     fake_fleet fleet(2, 3, 13);
     REQUIRE(fleet.settle());
@@ -333,8 +473,76 @@
     CHECK(messages_per_node(24) < messages_per_node(4) * 1.2);
 }
 
+namespace {
+
+// Finds VMs that serve by the outage policy although a VM that they can hear knows a newer revision. A
+// message takes time to arrive, so the other VM must have known it, and been within hearing, for 3 s (INV-3).
+class outage_check {
+public:
+    void look(const fake_fleet& fleet) {
+        for (std::size_t vm = 0; vm < 9; ++vm) {
+            const auto& node = fleet.node(vm);
+            auto& known = known_[vm];
+            if (incarnations_[vm] != node.self().incarnation || !fleet.active(vm)) {
+                known.clear();
+            }
+            incarnations_[vm] = node.self().incarnation;
+            if (fleet.active(vm) && (known.empty() || known.back().second < node.replica().revision())) {
+                known.emplace_back(fleet.now, node.replica().revision());
+            }
+        }
+        for (std::size_t vm = 0; vm < 9; ++vm) {
+            const bool outage =
+                fleet.active(vm) && fleet.verdict(vm) == key_verdict::serve_under_outage_policy;
+            for (std::size_t other = 0; other < 9; ++other) {
+                look(fleet, vm, other, outage);
+            }
+            for (std::size_t zone = 0; zone < 3; ++zone) {
+                const auto heard =
+                    std::max({heard_at_[vm][zone], heard_at_[vm][zone + 3], heard_at_[vm][zone + 6]});
+                if (outage && fleet.now - heard > second * 3) {
+                    FAIL("vm " << vm << " serves by the outage policy without a report of zone " << zone);
+                }
+            }
+        }
+    }
+    [[nodiscard]] std::uint64_t verdicts() const { return verdicts_; }
+
+private:
+    void look(const fake_fleet& fleet, std::size_t vm, std::size_t other, bool outage) {
+        const bool cut =
+            fleet.network.cut && fleet.network.cut(fleet.vms[other].id.address, fleet.vms[vm].id.address);
+        auto& since = heard_since_[vm][other];
+        if (cut || !fleet.active(vm) || !fleet.active(other)) {
+            since = fleet.now;
+        } else {
+            heard_at_[vm][other] = fleet.now;
+        }
+        if (!outage) {
+            return;
+        }
+        ++verdicts_;
+        if (fleet.now - since <= second * 3) {
+            return;
+        }
+        for (const auto& [at, revision] : known_[other]) {
+            if (fleet.now - at > second * 3 && revision > fleet.node(vm).replica().revision()) {
+                FAIL("vm " << vm << " serves by the outage policy, vm " << other << " knows more");
+            }
+        }
+    }
+
+    std::array<std::vector<std::pair<time_ms, revision_id>>, 9> known_;
+    std::array<incarnation_id, 9> incarnations_{};
+    std::array<std::array<time_ms, 9>, 9> heard_since_{};
+    std::array<std::array<time_ms, 9>, 9> heard_at_{};
+    std::uint64_t verdicts_ = 0;
+};
+
+} // namespace
+
 // One seeded run with random faults; checks INV-3 and INV-11 throughout and convergence at the end.
-static void random_run(std::uint64_t seed) {
+static std::uint64_t random_run(std::uint64_t seed) {
     CAPTURE(seed);
     std::mt19937_64 random(seed);
     fake_fleet fleet(3, 3, seed);
@@ -346,7 +554,9 @@
     std::vector<incarnation_id> incarnations(9);
     // Time at which each revision was written.
     std::map<revision_id, time_ms> written;
+    outage_check outages;
     const auto check = [&] {
+        outages.look(fleet);
         for (std::size_t vm = 0; vm < 9; ++vm) {
             if (!fleet.active(vm)) {
                 continue;
@@ -406,10 +616,13 @@
         }
     }
     CHECK(fleet.settle(second * 90));
+    return outages.verdicts();
 }
 
 TEST_CASE("a random sequence of faults reverts a replica, hides a revocation or prevents convergence") {
+    std::uint64_t outage_verdicts = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        random_run(seed);
+        outage_verdicts += random_run(seed);
     }
+    CHECK(outage_verdicts > 0);
 }
