Write the records of peer messages as arrays

Cause: the busiest node, a watcher, sends about 32 probe messages a second to the watchers of the other 16 zones, up to 8 tree messages, and acks to the clock requests of its zone. Change: peer_id, member_record, freshness_report, probe_payload and zone_report are arrays of their fields in order. The check for a missing params.from.vm becomes checks for a wrong type, a missing and an additional element.

--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -41,6 +41,14 @@
     a("revision", v.revision.value);
 }
 
+template <class Archive>
+void fields(Archive& a, zone_report& v) {
+    a("zone", v.zone.value);
+    a("age", v.age.count);
+    a("confirmation_age", v.confirmation_age.count);
+    a("store_reachable", v.store_reachable);
+}
+
 template <class Archive>
 void fields(Archive& a, freshness_report& v) {
     a("clock", v.clock.count);
@@ -164,11 +172,23 @@
     a("outcome", v.outcome);
 }
 
+// The records that most messages carry are written as arrays of their fields in order: the names were a third
+// of the bytes that a watcher sends.
+template <class T>
+constexpr bool positional =
+    std::is_same_v<T, peer_id> || std::is_same_v<T, member_record> || std::is_same_v<T, freshness_report> ||
+    std::is_same_v<T, probe_payload> || std::is_same_v<T, zone_report>;
+
 class writer {
 public:
+    explicit writer(Json::ValueType type = Json::objectValue) : json_(type) {}
     template <class T>
     void operator()(const char* name, T& value) {
-        json_[name] = to_json(value);
+        if (json_.isArray()) {
+            json_.append(to_json(value));
+        } else {
+            json_[name] = to_json(value);
+        }
     }
     Json::Value take() { return std::move(json_); }
 
@@ -181,15 +201,6 @@
     static Json::Value to_json(std::shared_ptr<const std::string>& v) {
         return v ? Json::Value(*v) : Json::Value(Json::nullValue);
     }
-    // Zone reports are the most frequent record; an array takes a third of the bytes of an object.
-    static Json::Value to_json(zone_report& v) {
-        Json::Value array(Json::arrayValue);
-        array.append(v.zone.value);
-        array.append(to_json(v.age.count));
-        array.append(to_json(v.confirmation_age.count));
-        array.append(v.store_reachable);
-        return array;
-    }
     template <class T>
     static Json::Value to_json(std::vector<T>& values) {
         Json::Value array(Json::arrayValue);
@@ -207,13 +218,13 @@
                 return Json::Value(static_cast<Json::UInt64>(v));
             }
         } else {
-            writer nested;
+            writer nested(positional<T> ? Json::arrayValue : Json::objectValue);
             fields(nested, v);
             return nested.take();
         }
     }
 
-    Json::Value json_{Json::objectValue};
+    Json::Value json_;
 };
 
 [[noreturn]] void reject(const std::string& reason) {
@@ -222,18 +233,26 @@
 
 class reader {
 public:
-    reader(const Json::Value& json, std::string path) : json_(json), path_(std::move(path)) {
-        if (!json_.isObject()) {
-            reject(path_ + " is not an object");
+    reader(const Json::Value& json, std::string path, Json::ValueType type = Json::objectValue)
+        : json_(json), path_(std::move(path)) {
+        if (json_.type() != type) {
+            reject(path_ + (type == Json::arrayValue ? " is not an array" : " is not an object"));
         }
     }
     template <class T>
     void operator()(const char* name, T& value) {
         const auto path = path_ + "." + name;
-        if (!json_.isMember(name)) {
+        if (json_.isArray() ? position_ >= json_.size() : !json_.isMember(name)) {
             reject("missing field " + path);
         }
-        parse(json_[name], path, value);
+        parse(json_.isArray() ? json_[position_] : json_[name], path, value);
+        ++position_;
+    }
+    // Rejects an array with more elements than fields.
+    void finish() const {
+        if (json_.isArray() && position_ != json_.size()) {
+            reject(path_ + " has too many elements");
+        }
     }
 
 private:
@@ -278,13 +297,6 @@
         require(json.isString() || json.isNull(), path, "a string or null");
         v = json.isNull() ? nullptr : std::make_shared<const std::string>(json.asString());
     }
-    static void parse(const Json::Value& json, const std::string& path, zone_report& v) {
-        require(json.isArray() && json.size() == 4, path, "an array of 4");
-        parse(json[0], path, v.zone.value);
-        parse(json[1], path, v.age.count);
-        parse(json[2], path, v.confirmation_age.count);
-        parse(json[3], path, v.store_reachable);
-    }
     template <class T>
     static void parse(const Json::Value& json, const std::string& path, std::vector<T>& values) {
         require(json.isArray(), path, "an array");
@@ -308,13 +320,15 @@
                 v = static_cast<T>(json.asUInt64());
             }
         } else {
-            reader nested(json, path);
+            reader nested(json, path, positional<T> ? Json::arrayValue : Json::objectValue);
             fields(nested, v);
+            nested.finish();
         }
     }
 
     const Json::Value& json_;
     std::string path_;
+    Json::ArrayIndex position_ = 0;
 };
 
 // Makes the payload alternative whose method has the given name and fills it from the body.
@@ -340,7 +354,7 @@
         : handler(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this)) {
         for (const auto* method : method_names) {
             jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME, nullptr);
-            procedure.AddParameter("from", jsonrpc::JSON_OBJECT);
+            procedure.AddParameter("from", jsonrpc::JSON_ARRAY);
             procedure.AddParameter("to", jsonrpc::JSON_STRING);
             procedure.AddParameter("body", jsonrpc::JSON_OBJECT);
             handler->AddProcedure(procedure);
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -101,11 +101,13 @@
     }
     const auto probe = encoded_body(payloads[0])["probe"];
     CHECK(probe.size() == member_count<probe_payload>());
-    CHECK(probe["freshness"].size() == member_count<freshness_report>());
-    CHECK(probe["freshness"]["zones"][0].size() == member_count<zone_report>());
-    CHECK(probe["updates"][0].size() == member_count<member_record>());
-    CHECK(probe["updates"][0]["id"].size() == member_count<peer_id>());
-    CHECK(encoded_body(payloads[5])["events"][0].size() == member_count<object_event>());
+    const auto events = encoded_body(payloads[5]);
+    CHECK(events["origin"].size() == member_count<peer_id>());
+    CHECK(events["updates"][0].size() == member_count<member_record>());
+    CHECK(events["freshness"].size() == member_count<freshness_report>());
+    const auto& zones = events["freshness"][Json::ArrayIndex{member_count<freshness_report>() - 1}];
+    CHECK(zones[0].size() == member_count<zone_report>());
+    CHECK(events["events"][0].size() == member_count<object_event>());
     CHECK(encoded_body(payloads[8])["wanted"].size() == member_count<budget_amount>());
 }
 
@@ -129,7 +131,9 @@
     rejected("\"after\":10", "\"after\":-1", "body.after");
     rejected("\"after\":10", "\"after\":1.0", "body.after");
     rejected("\"pull\"", "\"push\"", "-32601");
-    rejected("\"vm\"", "\"v\"", "params.from.vm");
+    rejected("\"vm1\"", "1", "params.from.vm");
+    rejected("\"vm1\",", "", "missing field params.from.incarnation");
+    rejected(",\"fedcba9876543210\"]", ",\"fedcba9876543210\",0]", "params.from has too many elements");
     rejected("\"params\"", "\"id\":1,\"params\"", "rejected by the protocol handler");
     rejected("{", "", "rejected by the protocol handler");
     CHECK_THROWS_AS(decoder.decode("[" + good + "," + good + "]"), error);
