Keep the start of a whole zone within the bounds of a node

Cause: of 51 nodes that joined a fleet of 249 at once, many took the partial table of another starting node for the complete one, the fleet was not complete after 30 s, and each seed sent dozens of tables. While membership changes travelled, the exchange between watchers carried the zone reports of all zones in both directions. Change: a joining process answers a request for the table with its own record only, and a member gives a complete table at most every 5 s and a sample of 16 members otherwise; samples say so, and their receiver asks one of the sampled members. A process that ended joining by time-out asks again later. Pings to watchers, and the acks to them, carry the report of the own zone only. Mutations: a joining process answers with its table, and tables without a limit; the new test fails.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -22,6 +22,9 @@
 
 constexpr time_ms pull_interval{1000};
 
+// Lets all samples arrive before a joining process chooses whom to ask for the table.
+constexpr time_ms sample_delay{200};
+
 // A table costs in proportion to the fleet, and a single unknown sender becomes known by gossip as well.
 constexpr time_ms meeting_interval{30'000};
 
@@ -63,6 +66,7 @@
         next_pull_ = now + pull_interval;
         if (now - started_at_ >= settings_.join_timeout) {
             status_ = membership_status::member;
+            second_pull_ = now + settings_.second_pull_delay;
         }
         contact_seeds(out);
     }
@@ -209,6 +213,18 @@
         return;
     }
     merge_record(payload.self, now, true);
+    // A joining process has no complete table to give.
+    const bool joining = status_ == membership_status::joining;
+    if (joining || (table_.size() > settings_.sample_size && now < next_table_)) {
+        member_table sample{{self_}, true};
+        for (const auto& peer :
+             random_members(joining ? 0 : settings_.sample_size, message.from.incarnation)) {
+            sample.members.push_back(table_.at(peer.incarnation).record);
+        }
+        out.push_back({message.from, std::move(sample)});
+        return;
+    }
+    next_table_ = now + settings_.table_interval;
     member_table part;
     part.members.push_back(self_);
     const auto flush = [&] {
@@ -231,6 +247,17 @@
     if (message.to != self_.id.incarnation) {
         return;
     }
+    if (payload.sample) {
+        merge(payload.members, now, false);
+        if (status_ != membership_status::joining) {
+            second_pull_ = now + pull_interval;
+        } else if (payload.members.size() > 1) {
+            // There is a fleet, so this process is not its only member.
+            started_at_ = now;
+            next_pull_ = std::min(next_pull_, now + sample_delay);
+        }
+        return;
+    }
     if (status_ == membership_status::joining) {
         status_ = membership_status::member;
         const auto jitter =
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -28,6 +28,10 @@
     /// Period of contacts with seeds, hinted addresses and dead members, which ends a split after a
     /// partition.
     time_ms hint_interval{5000};
+    /// Shortest time between two complete tables to joining processes; in between they get a sample. A table
+    /// of 870 members has 120 KB, so this keeps below 26 KB/s when a zone of 51 starts at once.
+    time_ms table_interval{5000};
+    std::size_t sample_size = 16;
     time_ms dead_retention{600'000};
     std::size_t max_updates = 8;
     /// Records of unchanged members per message; they repair updates that some members have missed.
@@ -174,6 +178,7 @@
     time_ms next_hint_;
     time_ms next_expiry_;
     time_ms next_meeting_;
+    time_ms next_table_;
     time_ms next_pull_;
     std::optional<time_ms> second_pull_;
     std::uint64_t version_ = 1;
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -92,6 +92,8 @@
 /// @brief Membership table, or a part of it.
 struct member_table {
     std::vector<member_record> members;
+    /// Whether the records are only some members, which the receiver may ask for the table.
+    bool sample = false;
 };
 
 /// @brief New object events, passed on through the tree of a zone.
@@ -185,9 +187,9 @@
     once_outcome outcome = once_outcome::unknown;
 };
 
-using peer_payload =
-    std::variant<ping, ack, ping_request, member_pull, member_table, object_events, object_pull,
-                 object_snapshot, loan_request, loan_grant, loan_return, home_handover, once_query, once_reply>;
+using peer_payload = std::variant<ping, ack, ping_request, member_pull, member_table, object_events,
+                                  object_pull, object_snapshot, loan_request, loan_grant, loan_return,
+                                  home_handover, once_query, once_reply>;
 
 /// @brief A message between two processes.
 struct peer_message {
--- a/src/coordination/spread_node.cpp
+++ b/src/coordination/spread_node.cpp
@@ -78,7 +78,7 @@
         replica_.receive(message, now, freshness_.report(now, false), out);
     }
     const auto* probe = std::get_if<ping>(&message.payload);
-    const bool compact = probe != nullptr && probe->probe.updates.empty();
+    const bool compact = probe != nullptr && probe->probe.freshness.zones.size() == 1;
     for (auto& action : out.sends) {
         if (auto* answer = std::get_if<ack>(&action.payload)) {
             fill(answer->probe, compact, now);
@@ -152,10 +152,18 @@
         if (members_.awaits_ack(peer.incarnation, now)) {
             continue;
         }
-        out.sends.push_back(members_.make_ping(peer, now, false));
+        out.sends.push_back(make_exchange_ping(peer, now));
     }
 }
 
+// A ping to a watcher, which makes and gets the reports of all zones otherwise: it carries that of the own
+// zone only, also while membership changes travel with it.
+send_action spread_node::make_exchange_ping(const peer_id& target, time_ms now) {
+    auto action = members_.make_ping(target, now, false);
+    fill(std::get<ping>(action.payload).probe, true, now);
+    return action;
+}
+
 // Sends the evidence of this watcher to its zone and exchanges reports with a watcher of each other zone.
 void spread_node::pulse(time_ms now, replica_actions& out) {
     last_pulse_ = now;
@@ -163,7 +171,7 @@
     replica_.push(freshness_.report(now, false), members_.take_news(), out);
     ++pulses_;
     for (const auto& watchers : foreign_watchers_) {
-        out.sends.push_back(members_.make_ping(watchers[pulses_ % watchers.size()], now, false));
+        out.sends.push_back(make_exchange_ping(watchers[pulses_ % watchers.size()], now));
     }
 }
 
@@ -184,8 +192,10 @@
         }
     }
     for (auto& action : out.sends) {
-        if (auto* probe = std::get_if<ping>(&action.payload)) {
-            fill(probe->probe, probe->probe.updates.empty(), now);
+        auto* probe = std::get_if<ping>(&action.payload);
+        const bool filled = probe != nullptr && probe->probe.freshness.clock != time_ms{};
+        if (probe != nullptr && !filled) {
+            fill(probe->probe, false, now);
         }
     }
 }
--- a/src/coordination/spread_node.h
+++ b/src/coordination/spread_node.h
@@ -58,6 +58,7 @@
     void elect(time_ms now);
     void pulse(time_ms now, replica_actions& out);
     void renew_round_trips(time_ms now, replica_actions& out);
+    send_action make_exchange_ping(const peer_id& target, time_ms now);
     void finish(time_ms now, replica_actions& out);
     void fill(probe_payload& probe, bool own_zone_only, time_ms now) const;
 
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -90,6 +90,7 @@
 template <class Archive>
 void fields(Archive& a, member_table& v) {
     a("members", v.members);
+    a("sample", v.sample);
 }
 
 template <class Archive>
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -138,6 +138,57 @@
     fleet.run(second * 10, [&] { CHECK(fleet.lists(0, 5)); });
 }
 
+TEST_CASE("a starting VM takes the partial table of another for that of the fleet, or tables cost a seed too "
+          "much") {
+    const auto peer = [](std::uint64_t i) {
+        return peer_id{{"vm" + std::to_string(i)}, {"a"}, fake_fleet::address(i), {i}};
+    };
+    const auto record = [&](std::uint64_t i) {
+        return member_record{peer(i), fake_fleet::address(i), member_state::alive, 1, {}};
+    };
+    const auto ask = [&](membership& asked, std::uint64_t from, time_ms now) {
+        const auto answer =
+            asked.receive({peer(from), asked.self().incarnation, member_pull{record(from)}}, now);
+        std::pair<std::size_t, bool> result{0, false};
+        for (const auto& action : answer) {
+            const auto& table = std::get<member_table>(action.payload);
+            result.first += table.members.size();
+            result.second = result.second || table.sample;
+        }
+        return result;
+    };
+    membership starting(peer(9), "", {}, 1, {0});
+    CHECK(ask(starting, 8, {0}) == std::pair<std::size_t, bool>{1, true});
+    const auto tell = [&](bool sample, time_ms now) {
+        const member_table table{{record(1), record(2), record(3)}, sample};
+        (void)starting.receive({peer(1), starting.self().incarnation, table}, now);
+    };
+    tell(true, {2900});
+    CHECK(starting.status({2900}) == membership_status::joining);
+    const auto next = starting.tick({3100});
+    CHECK(std::any_of(next.begin(), next.end(), [](const auto& action) {
+        return std::holds_alternative<member_pull>(action.payload);
+    }));
+    CHECK(starting.status({3100}) == membership_status::joining);
+    tell(false, {3200});
+    CHECK(starting.status({3200}) == membership_status::member);
+
+    membership seed(peer(10), "", {}, 1, {0});
+    std::vector<member_record> fleet;
+    for (std::uint64_t i = 11; i <= 50; ++i) {
+        fleet.push_back(record(i));
+    }
+    seed.adopt(fleet, {0});
+    CHECK(ask(seed, 51, {0}) == std::pair<std::size_t, bool>{42, false});
+    const auto second_answer = ask(seed, 52, {100});
+    CHECK(second_answer.second);
+    CHECK(second_answer.first <= 17);
+    CHECK(second_answer.first >= 10);
+    (void)seed.tick({4000}); // Otherwise the process takes the gap for a pause.
+    CHECK(ask(seed, 53, {4900}).second);
+    CHECK(ask(seed, 54, {5000}) == std::pair<std::size_t, bool>{45, false});
+}
+
 TEST_CASE("a short pause makes a VM declare its peers dead") {
     fake_fleet fleet(2, 3, 6);
     REQUIRE(fleet.settle());
