--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -92,6 +92,8 @@
 /// @brief Membership table, or a part of it.
 struct member_table {
     std::vector<member_record> members;
+    /// Whether the records are only some members, which the receiver may ask for the table.
+    bool sample = false;
 };
 
 /// @brief New object events, passed on through the tree of a zone.
