Release reserved capacity that a bucket's own refill needs

Cause: a bucket that asks for tokens keeps its free capacity for them for 250 ms. Its own refill found no room meanwhile and was lost.

Change: the refill takes back reserved capacity; tokens that arrive later fit only into what is still reserved. limits prints target, measured and verdict per load.

--- a/src/bench/limits.cpp
+++ b/src/bench/limits.cpp
@@ -275,22 +275,33 @@
             const double due = std::min(offered, static_cast<double>(fleet_rate) * floor / 100);
             fmt::print("  cut zone {:.1f} % of its floor",
                        100.0 * static_cast<double>(cut_admitted_) / span / due);
+            cut_floor_met_ = static_cast<double>(cut_admitted_) / span >= due;
         }
         fmt::print("\n");
-        return world_.ledger.violations() == 0 && meets_target(worst);
+        const double limit = target();
+        const bool met = world_.ledger.violations() == 0 && worst <= limit && cut_floor_met_;
+        if (policy_ == policy::loans) {
+            const auto wanted = plan_.kind == load_kind::zone_cut
+                                    ? std::string("cut zone >= 100 % of its floor")
+                                    : fmt::format("wrongful <= {} % for every account", limit);
+            fmt::print("  target of the loans policy: {}, no over-admission; measured: total {:.3f} %, worst "
+                       "account {:.3f} %: {}\n",
+                       wanted, wrongful, worst, met ? "met" : "MISSED");
+        }
+        return met;
     }
 
-    [[nodiscard]] bool meets_target(double worst) const {
+    // Wrongful refusals per account in per cent. The refusals of a zone that is cut off depend on its load,
+    // so its target is the floor.
+    [[nodiscard]] double target() const {
         switch (plan_.kind) {
         case load_kind::even:
         case load_kind::one_vm:
-            return worst <= 0.1;
-        case load_kind::moving:
-        case load_kind::noisy:
-        case load_kind::store_down:
-            return worst <= 1.0;
+            return 0.1;
+        case load_kind::zone_cut:
+            return 100.0;
         default:
-            return true;
+            return 1.0;
         }
     }
 
@@ -305,6 +316,7 @@
     std::uint64_t store_writes_ = 0;
     std::uint64_t cut_offered_ = 0;
     std::uint64_t cut_admitted_ = 0;
+    bool cut_floor_met_ = true;
 };
 
 } // namespace
@@ -319,10 +331,7 @@
         for (const auto chosen : policies) {
             experiment one(chosen, plan, seed);
             const bool good = one.run();
-            if (!good && chosen == policy::loans) {
-                fmt::print("  target of the loans policy MISSED (every account on its own)\n");
-                met = false;
-            }
+            met = met && (good || chosen != policy::loans);
         }
     }
     fmt::print("targets of the loans policy: {}\n", met ? "met" : "MISSED");
--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -264,11 +264,29 @@
     check(state);
 }
 
+// Releases reserved capacity that the own refill needs. Most requests for tokens bring less than they ask
+// for, and a refill that finds no room is lost for certain.
+void budget_manager::release_reserved(budget_state& state, time_ms now) const {
+    if (state.reserved_sum == 0) return;
+    const std::int64_t elapsed = above_zero((now - state.bucket.updated()).count);
+    std::int64_t excess =
+        state.bucket.level() + state.bucket.rate() * (elapsed + 1) - state.bucket.capacity();
+    if (excess <= 0) return;
+    for (auto& request : state.pending) {
+        const std::int64_t released = std::clamp<std::int64_t>(excess, 0, request.reserved);
+        request.reserved -= released;
+        state.reserved_sum -= released;
+        excess -= released;
+    }
+    apply_limits(state);
+}
+
 // Applies all expiries up to now in the order of time, so that after a pause nothing is refilled at the rate
 // of an expired loan or lease.
 void budget_manager::settle(budget_state& state, time_ms now) {
     while (state.next_event <= now) {
         const time_ms at = state.next_event;
+        release_reserved(state, at);
         state.bucket.advance(at);
         if (state.home && at >= state.lease_expiry) {
             state.home = false;
@@ -299,6 +317,7 @@
         }
         apply_limits(state);
     }
+    release_reserved(state, now);
     state.bucket.advance(now);
 }
 
--- a/src/coordination/budget_manager.h
+++ b/src/coordination/budget_manager.h
@@ -149,6 +149,7 @@
     budget_state* find(std::string_view budget);
     void settle(budget_state& state, time_ms now);
     void apply_limits(budget_state& state) const;
+    void release_reserved(budget_state& state, time_ms now) const;
     static void check(const budget_state& state);
     void drive(budget_state& state, time_ms now);
     void return_unneeded(budget_state& state, time_ms now);
--- a/tests/home_control_test.cpp
+++ b/tests/home_control_test.cpp
@@ -316,6 +316,7 @@
         f.read_to(0, shorter + 1);
         f.step(0);
         f.read_to(1, before);
+        f.step(1);
         f.check();
     }
     f.run(20_s);
