Let a home without own demand borrow for the requests in its queue

Cause: a home that saw no requests of its own left the requests of other VMs in its queue until its own refill covered them.

Change: it asks the other homes as a home with demand does.

--- a/src/coordination/budget_manager.cpp
+++ b/src/coordination/budget_manager.cpp
@@ -795,7 +795,9 @@
 // Asks the lenders for what the demand needs beyond the own bucket and the requests under way.
 void budget_manager::borrow(budget_state& state, time_ms now) {
     const std::int64_t demand = state.demand.rate(now);
-    if ((demand == 0 && state.waiting == 0) || state.taken.size() >= most_loans_per_budget) {
+    // A home without own demand borrows for the requests in its queue.
+    if ((demand == 0 && state.waiting == 0 && state.queue.empty()) ||
+        state.taken.size() >= most_loans_per_budget) {
         return;
     }
     const std::int64_t low = demand * low_level_ms;
