--- /dev/null
+++ b/tests/move_test.cpp
@@ -0,0 +1,406 @@
+#include "bench/move_world.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace lacewing;
+using namespace lacewing::bench;
+
+namespace {
+
+const std::string version_key = "moves/a";
+const std::string drain_key = "drains/a-old";
+
+bool ended(const std::string& state) {
+    return state == "done" || state == "taken_back";
+}
+
+// World with one route and one version move; counts how often a result is declared.
+struct version_run {
+    explicit version_run(std::function<version_behaviour(const std::string&, time_ms, double)> behaviour,
+                         std::size_t vms = 4, int deadline_s = 900)
+        : world(1, vms, {}) {
+        auto& route = world.add_route("a", version_key);
+        route.behaviour = std::move(behaviour);
+        world.on_write = [this](const std::string& key, const Json::Value& value) {
+            if (key != version_key) return;
+            const auto state = value["state"].asString();
+            if (ended(state) && state != last_state) ++results;
+            last_state = state;
+            largest_share = std::max(largest_share, value["share_ppm"].asInt64());
+        };
+        world.request_version("a", deadline_s);
+    }
+    bool finish(int seconds = 1000) {
+        return world.run_until([&] { return ended(world.state(version_key)); }, seconds);
+    }
+
+    move_world world;
+    int results = 0;
+    std::string last_state;
+    std::int64_t largest_share = 0;
+};
+
+version_behaviour good(const std::string& /*version*/, time_ms /*now*/, double /*load*/) {
+    return {};
+}
+
+// Steps that a move has entered, from its evidence.
+std::string steps_of(const move_world& world, const std::string& key) {
+    std::string steps;
+    for (const auto& entry : world.object(key).value["evidence"]) {
+        const auto text = entry.asString();
+        steps += text.substr(0, text.find(':')) + " ";
+    }
+    return steps;
+}
+
+} // namespace
+
+TEST_CASE("moves: a stage exceeds its requested cap or the standard share") {
+    Json::Value caps(Json::arrayValue);
+    CHECK(stage_shares(caps) == std::vector<std::int64_t>{10'000, 50'000, 250'000, 500'000, 1'000'000});
+    for (const auto cap : {3, 4, 10})
+        caps.append(cap);
+    CHECK(stage_shares(caps) == std::vector<std::int64_t>{10'000, 40'000, 100'000, 100'000, 100'000});
+}
+
+TEST_CASE("moves: a good version does not finish, or without a record of each step") {
+    version_run run(good);
+    REQUIRE(run.finish());
+    CHECK(run.world.state(version_key) == "done");
+    CHECK(steps_of(run.world, version_key) == "stage 1 stage 2 stage 3 stage 4 stage 5 done ");
+    run.world.run_until([&] { return !run.world.object(version_key).value["watching"].asBool(); }, 400);
+    CHECK(run.world.object(version_key).value["share_ppm"] == 1'000'000);
+    for (int i = 0; i < 20; ++i)
+        run.world.step();
+    CHECK(run.world.history_records(version_key) == 7);
+    const auto revision = run.world.object(version_key).revision;
+    for (int i = 0; i < 30; ++i)
+        run.world.step();
+    CHECK_MESSAGE(run.world.object(version_key).revision == revision, "a closed move is still written");
+}
+
+// Guards against a move that hangs, ends twice or loses a record when its driver dies at some step.
+TEST_CASE("moves: the driver dies at each step") {
+    for (const bool lose_answer : {false, true}) {
+        for (int step = 1; step <= 7; ++step) {
+            CAPTURE(step);
+            version_run run(good);
+            REQUIRE(run.world.run_until(
+                [&] { return run.world.object(version_key).value["step"].asInt() >= step; }, 1300));
+            auto* driver = run.world.driver_of(version_key);
+            REQUIRE(driver != nullptr);
+            // The answer of the step is lost, or the driver dies right after it.
+            if (lose_answer) run.world.lost_answers = 1;
+            driver->alive = false;
+            REQUIRE(run.finish());
+            run.world.run_until([&] { return !run.world.object(version_key).value["watching"].asBool(); },
+                                400);
+            for (int i = 0; i < 20; ++i)
+                run.world.step();
+            CHECK(run.world.state(version_key) == "done");
+            CHECK(run.results == 1);
+            CHECK(run.world.history_records(version_key) == 7);
+        }
+    }
+}
+
+TEST_CASE("moves: two drivers race for a move and both act") {
+    move_settings eager;
+    eager.takeover_stagger = {};
+    move_world world(1, 4, eager);
+    world.add_route("a", version_key);
+    int taken_up = 0;
+    world.on_write = [&](const std::string& key, const Json::Value& value) {
+        if (key == version_key && value["last_step"] == "stage 1" && value["step"] == 1 &&
+            value["elapsed_ms"].asInt64() == 0)
+            ++taken_up;
+    };
+    world.request_version("a", 900);
+    for (int i = 0; i < 3; ++i)
+        world.step();
+    CHECK(taken_up == 1);
+    CHECK(world.history_records(version_key) == 1);
+}
+
+TEST_CASE("moves: a holder that was paused acts on a lapsed lease") {
+    version_run run(good);
+    REQUIRE(
+        run.world.run_until([&] { return run.world.object(version_key).value["step"].asInt() >= 2; }, 900));
+    auto* paused = run.world.driver_of(version_key);
+    REQUIRE(paused != nullptr);
+    paused->paused = true;
+    REQUIRE(run.world.run_until([&] { return run.world.driver_of(version_key) != paused; }, 15));
+    const auto revision = run.world.object(version_key).revision;
+    paused->paused = false;
+    // It decides on the revision that it held before the pause.
+    run.world.act(*paused);
+    CHECK(run.world.object(version_key).revision == revision);
+    REQUIRE(run.finish());
+    CHECK(run.results == 1);
+    CHECK(run.world.driver_of(version_key) != paused);
+}
+
+TEST_CASE("moves: a lease is taken over although its holder renews it") {
+    version_run run(good);
+    run.world.step();
+    run.world.step();
+    auto* holder = run.world.driver_of(version_key);
+    REQUIRE(run.finish());
+    CHECK(run.world.driver_of(version_key) == holder);
+}
+
+TEST_CASE("moves: the store's answer is lost") {
+    version_run run(good);
+    for (int i = 0; i < 900 && !ended(run.world.state(version_key)); ++i) {
+        if (i % 2 == 0) run.world.lost_answers = 1;
+        run.world.step();
+    }
+    CHECK(run.world.state(version_key) == "done");
+    CHECK(run.results == 1);
+    CHECK(steps_of(run.world, version_key) == "stage 1 stage 2 stage 3 stage 4 stage 5 done ");
+}
+
+TEST_CASE("moves: a store outage ends a move or changes its share") {
+    version_run run(good);
+    REQUIRE(
+        run.world.run_until([&] { return run.world.object(version_key).value["step"].asInt() >= 2; }, 900));
+    run.world.store_down = true;
+    const auto before = run.world.object(version_key).revision;
+    for (int i = 0; i < 60; ++i)
+        run.world.step();
+    CHECK(run.world.object(version_key).revision == before);
+    run.world.store_down = false;
+    REQUIRE(run.finish());
+    CHECK(run.world.state(version_key) == "done");
+}
+
+TEST_CASE("moves: a drain is done while a VM has requests in flight or an old revision") {
+    move_world world(1, 4, {});
+    world.add_route("a", version_key);
+    world.vms()[1].in_flight["a-old"] = 2;
+    world.vms()[2].silent = true;
+    world.request_drain("a-old", 300);
+    for (int i = 0; i < 30; ++i)
+        world.step();
+    CHECK(world.state(drain_key) == "running");
+    world.vms()[1].in_flight.clear();
+    for (int i = 0; i < 10; ++i)
+        world.step();
+    const bool silent_drives = world.driver_of(drain_key) == &world.vms()[2];
+    if (!silent_drives) CHECK(world.state(drain_key) == "running");
+    world.vms()[2].silent = false;
+    CHECK(world.run_until([&] { return world.state(drain_key) == "done"; }, 10));
+}
+
+TEST_CASE("moves: a drain that cannot finish stays pending after its deadline") {
+    move_world world(1, 4, {});
+    world.add_route("a", version_key);
+    world.vms()[3].in_flight["a-old"] = 1;
+    world.request_drain("a-old", 60);
+    REQUIRE(world.run_until([&] { return ended(world.state(drain_key)); }, 90));
+    CHECK(world.now().count <= 65'000);
+    CHECK(world.state(drain_key) == "taken_back");
+    CHECK(world.object(drain_key).value["result"].asString().find("vm3: 1 in flight") != std::string::npos);
+}
+
+// Guards against a deadline that starts anew with each driver.
+TEST_CASE("moves: a change of the driver extends the deadline") {
+    move_world world(1, 4, {});
+    world.add_route("a", version_key);
+    for (auto& vm : world.vms())
+        vm.in_flight["a-old"] = 1;
+    world.request_drain("a-old", 60);
+    for (int i = 0; i < 40; ++i)
+        world.step();
+    world.driver_of(drain_key)->alive = false;
+    REQUIRE(world.run_until([&] { return ended(world.state(drain_key)); }, 90));
+    CHECK(world.now().count <= 70'000);
+}
+
+TEST_CASE("moves: cancel and done both take effect") {
+    version_run run(good);
+    const auto cancel = [&](const move_world::stored& held) {
+        auto value = held.value;
+        value["state"] = "taken_back";
+        value["result"] = "cancelled by test";
+        value["step"] = value["step"].asInt64() + 1;
+        value["last_step"] = "taken_back";
+        return run.world.put(version_key, held.revision, value);
+    };
+    REQUIRE(
+        run.world.run_until([&] { return run.world.object(version_key).value["step"].asInt() >= 5; }, 900));
+    const auto before_done = run.world.object(version_key);
+    REQUIRE(run.finish());
+    CHECK_FALSE(cancel(before_done));
+    CHECK(run.results == 1);
+
+    version_run other(good);
+    REQUIRE(other.world.run_until([&] { return other.world.object(version_key).value["step"].asInt() >= 3; },
+                                  900));
+    auto value = other.world.object(version_key).value;
+    value["state"] = "taken_back";
+    REQUIRE(other.world.put(version_key, other.world.object(version_key).revision, value));
+    for (int i = 0; i < 100; ++i)
+        other.world.step();
+    CHECK(other.world.state(version_key) == "taken_back");
+    CHECK(other.results == 1);
+}
+
+TEST_CASE("moves: a version that fails at once leaves the first stage or is not taken back") {
+    version_run run([](const std::string& version, time_ms, double) {
+        return version_behaviour{version == "v2" ? 0.8 : 0.005, 1};
+    });
+    REQUIRE(run.finish(60));
+    CHECK(run.world.state(version_key) == "taken_back");
+    CHECK(run.largest_share == 10'000);
+    CHECK(run.world.object(version_key).value["share_ppm"] == 0);
+    // INV-5: nothing more from 2 s after the verdict.
+    run.world.step();
+    run.world.step();
+    const auto before = run.world.routes()[0].to_new;
+    for (int i = 0; i < 20; ++i)
+        run.world.step();
+    CHECK(run.world.routes()[0].to_new == before);
+}
+
+TEST_CASE("moves: a version that is judged bad receives requests during a store outage") {
+    bool bad = false;
+    version_run run([&](const std::string& version, time_ms, double) {
+        return version_behaviour{version == "v2" && bad ? 1.0 : 0.005, 1};
+    });
+    REQUIRE(
+        run.world.run_until([&] { return run.world.object(version_key).value["step"].asInt() >= 4; }, 900));
+    run.world.store_down = true;
+    bad = true;
+    for (int i = 0; i < 6; ++i)
+        run.world.step();
+    const auto before = run.world.routes()[0].to_new;
+    for (int i = 0; i < 20; ++i)
+        run.world.step();
+    CHECK(run.world.routes()[0].to_new == before);
+    run.world.store_down = false;
+    REQUIRE(run.finish(30));
+    CHECK(run.world.state(version_key) == "taken_back");
+}
+
+TEST_CASE("moves: a version that fails late, is slow, or fails under load only is declared done for good") {
+    const auto taken_back = [](auto behaviour) {
+        version_run run(behaviour);
+        run.world.routes()[0].load.load = [](time_ms now) {
+            return 1 + 0.5 * std::sin(now.count / 60'000.0);
+        };
+        return run.world.run_until(
+            [&] {
+                const auto& value = run.world.object(version_key).value;
+                return value["state"] == "taken_back" || value.isMember("reverted_after_done");
+            },
+            900);
+    };
+    CHECK(taken_back([](const std::string& version, time_ms now, double) {
+        return version_behaviour{version == "v2" && now.count > 120'000 ? 0.1 : 0.005, 1};
+    }));
+    CHECK(taken_back([](const std::string& version, time_ms, double) {
+        return version_behaviour{0.005, version == "v2" ? 2.0 : 1.0};
+    }));
+    CHECK(taken_back([](const std::string& version, time_ms, double load) {
+        return version_behaviour{version == "v2" && load > 1.2 ? 0.15 : 0.005, 1};
+    }));
+}
+
+TEST_CASE("moves: both versions fail under load and the new one is blamed") {
+    version_run run([](const std::string&, time_ms, double load) {
+        return version_behaviour{load > 1.2 ? 0.2 : 0.005, load > 1.2 ? 3.0 : 1.0};
+    });
+    run.world.routes()[0].load.load = [](time_ms now) { return 1 + 0.5 * std::sin(now.count / 20'000.0); };
+    REQUIRE(run.finish());
+    CAPTURE(run.world.object(version_key).value["result"].asString());
+    CAPTURE(run.world.now().count);
+    CAPTURE(steps_of(run.world, version_key));
+    CHECK(run.world.state(version_key) == "done");
+}
+
+TEST_CASE("moves: the old version is bad as well and the new one is blamed") {
+    version_run run([](const std::string&, time_ms, double) { return version_behaviour{0.3, 4}; });
+    REQUIRE(run.finish());
+    CHECK(run.world.state(version_key) == "done");
+}
+
+TEST_CASE("moves: a version that is bad on one route spoils the move on the other") {
+    move_world world(1, 4, {});
+    world.add_route("a", version_key);
+    world.add_route("b", "moves/b").behaviour = [](const std::string& version, time_ms, double) {
+        return version_behaviour{version == "v2" ? 0.3 : 0.005, 1};
+    };
+    world.request_version("a", 900);
+    world.request_version("b", 900);
+    REQUIRE(world.run_until([&] { return ended(world.state(version_key)) && ended(world.state("moves/b")); },
+                            950));
+    CHECK(world.state(version_key) == "done");
+    CHECK(world.state("moves/b") == "taken_back");
+}
+
+TEST_CASE("moves: a version that turns bad after done keeps its share") {
+    bool bad = false;
+    version_run run([&](const std::string& version, time_ms, double) {
+        return version_behaviour{version == "v2" && bad ? 0.3 : 0.005, 1};
+    });
+    REQUIRE(run.finish());
+    for (int i = 0; i < 60; ++i)
+        run.world.step();
+    bad = true;
+    REQUIRE(run.world.run_until(
+        [&] { return run.world.object(version_key).value.isMember("reverted_after_done"); }, 60));
+    CHECK(run.world.state(version_key) == "done");
+    CHECK(run.world.object(version_key).value["share_ppm"] == 0);
+    CHECK(run.results == 1);
+    for (int i = 0; i < 5; ++i)
+        run.world.step();
+    CHECK(run.world.history_records(version_key) == 7);
+}
+
+TEST_CASE("moves: a stage advances although too many VMs send no evidence") {
+    version_run run(good, 4, 120);
+    run.world.vms()[0].silent = true;
+    run.world.vms()[1].silent = true;
+    run.world.step();
+    run.world.step();
+    // At least one VM other than the driver is silent; with two silent VMs half of the evidence may be
+    // missing.
+    REQUIRE(run.finish(200));
+    const auto* driver = run.world.driver_of(version_key);
+    const bool driver_silent = driver == &run.world.vms()[0] || driver == &run.world.vms()[1];
+    if (!driver_silent) {
+        CHECK(run.largest_share == 10'000);
+        CHECK(run.world.state(version_key) == "taken_back");
+    }
+}
+
+TEST_CASE("moves: evidence that arrives twice or after a gap counts twice") {
+    version_counts older;
+    for (int i = 0; i < 10; ++i)
+        add_outcome(older, i == 0, {i});
+    auto newer = older;
+    add_outcome(newer, true, {5000});
+    CHECK(growth(older, newer).requests == 1);
+    CHECK(growth(older, newer).errors == 1);
+    CHECK(growth(newer, newer).requests == 0);
+    // A restarted process counts from zero.
+    CHECK(growth(newer, older).requests == older.requests);
+}
+
+TEST_CASE("moves: a judge decides without requests of the old version at the same time") {
+    version_judge judge;
+    version_counts fast;
+    version_counts slow;
+    for (int i = 0; i < 1000; ++i) {
+        add_outcome(fast, false, {20});
+        add_outcome(slow, false, {80});
+    }
+    judge.add(fast, {});
+    for (int i = 0; i < 50; ++i)
+        judge.add({}, slow);
+    CHECK(judge.verdict() == version_verdict::undecided);
+}
