--- a/src/coordination/move_driver.h
+++ b/src/coordination/move_driver.h
@@ -44,7 +44,7 @@
     time_ms min_stage{10'000};
     /// Share of the requests, in millionths, that the old version keeps in the last stage and while the new
     /// version is watched: without requests at the same time there is nothing to compare with.
-    std::int64_t comparison_ppm = 50'000;
+    std::int64_t comparison_ppm = 100'000;
     /// Time for which a version is watched after done.
     time_ms watch_after_done{300'000};
     /// Time after which a write without a known result is tried again.
