--- a/src/bench/move_world.h
+++ b/src/bench/move_world.h
@@ -24,6 +24,12 @@
     double slowness = 1;
 };
 
+/// @brief Load that swings between half and one and a half of the mean.
+/// @param period Time in which the phase grows by one radian.
+inline double swinging_load(time_ms now, time_ms period, double phase = 0) {
+    return 1 + 0.5 * std::sin(phase + static_cast<double>(now.count) / static_cast<double>(period.count));
+}
+
 /// @brief Load, as a multiple of the mean, and requests per second of a route over the whole fleet.
 struct route_load {
     double requests_per_s = 120;
--- a/src/bench/moves.cpp
+++ b/src/bench/moves.cpp
@@ -13,7 +13,7 @@
 
 constexpr int moves_per_kind = 1000;
 constexpr int deadline_s = 600;
-constexpr unsigned threads = 4;
+constexpr unsigned threads = 5;
 constexpr double target_good_done = 99;
 constexpr double target_bad_back = 99;
 constexpr double target_to_bad = 1.5;
@@ -88,7 +88,7 @@
     if (of == one_route) world.add_route("b", "moves/b");
     auto& route = world.add_route("a", key);
     for (auto& item : world.routes())
-        item.load.load = [phase](time_ms now) { return 1 + 0.5 * std::sin(phase + now.count / 60'000.0); };
+        item.load.load = [phase](time_ms now) { return swinging_load(now, time_ms{60'000}, phase); };
     route.failing = [&, of](time_ms now, double load) {
         switch (of) {
         case at_once:
@@ -128,7 +128,7 @@
             return closed && (of != one_route || !world.state("moves/b").starts_with("r"));
         },
         2 * deadline_s);
-    const time_ms deadline{(deadline_s + 5) * 1000};
+    const auto deadline = time_ms{1000} * (deadline_s + 5);
     result.done = done_at.count >= 0 && done_at <= deadline && ended.count < 0;
     result.taken_back = ended.count >= 0;
     result.false_alarm = (!kinds.at(of).bad && result.taken_back) ||
--- a/src/coordination/move_driver.cpp
+++ b/src/coordination/move_driver.cpp
@@ -120,6 +120,9 @@
     move.driver = lease.isObject() ? text_of(lease["incarnation"]) : std::string();
     move.stages = stage_shares(move.value["cap_percent"]);
     move.deadline = time_ms{number_of(move.value["deadline_s"]) * 1000};
+    move.elapsed_before = time_ms{number_of(move.value["elapsed_ms"])};
+    move.watch_until = time_ms{number_of(move.value["watch_until_ms"])};
+    move.stage = static_cast<std::size_t>(std::max<std::int64_t>(number_of(move.value["stage"]), 0));
     move.ended = has_ended(move.value);
     move.watched = watched(move.value);
     move.needs_driver = !move.ended || record_due(move.value) || move.watched;
@@ -131,12 +134,11 @@
         move.stage_entered = now;
         move.next_window = now;
     }
-    const auto stage = static_cast<std::size_t>(number_of(move.value["stage"]));
-    if (own && move.driving && stage != move.judged_stage) {
+    if (own && move.driving && move.stage != move.judged_stage) {
         move.fleet_judge.enter_stage();
         move.stage_entered = now;
     }
-    move.judged_stage = stage;
+    move.judged_stage = move.stage;
     move.driving = own;
     // A write that was based on an older revision can no longer take effect.
     if (move.pending && move.pending->key == move.key) move.pending.reset();
@@ -223,8 +225,8 @@
     }
 }
 
-time_ms move_driver::elapsed(time_ms now, const move_state& move) const {
-    return time_ms{number_of(move.value["elapsed_ms"])} + (now - move.seen);
+time_ms move_driver::elapsed(time_ms now, const move_state& move) {
+    return move.elapsed_before + (now - move.seen);
 }
 
 // Whether the lease has lapsed by this VM's own clock. VMs take their turns, so that one of them writes.
@@ -335,9 +337,10 @@
             missing += fmt::format(" {}: {} in flight;", vm.id.vm.value, found->second.report.in_flight);
         }
     }
-    if (missing.empty() && !fleet_.empty())
+    if (missing.empty() && !fleet_.empty()) {
         return ending("done", fmt::format("no request in flight on {} VMs at revision {} or later",
                                           fleet_.size(), required));
+    }
     if (elapsed(now, move) >= move.deadline) return ending("taken_back", "deadline passed;" + missing);
     return std::nullopt;
 }
@@ -386,7 +389,7 @@
                             reason,
                             {{"share_ppm", 0}, {"watching", false}, {"reverted_after_done", reason}}};
         }
-        if (elapsed(now, move) < time_ms{number_of(move.value["watch_until_ms"])}) return std::nullopt;
+        if (elapsed(now, move) < move.watch_until) return std::nullopt;
         return decision{"watch_ended",
                         move.fleet_judge.evidence(),
                         {{"watching", false}, {"share_ppm", Json::Int64(move.stages.back())}}};
@@ -398,7 +401,7 @@
         back.changes.emplace_back("share_ppm", 0);
         return back;
     }
-    const auto next = static_cast<std::size_t>(number_of(move.value["stage"])) + 1;
+    const auto next = move.stage + 1;
     if (stage_may_end(now, move)) {
         const auto evidence = evidence_of(now, move);
         if (next < move.stages.size()) {
--- a/src/coordination/move_driver.h
+++ b/src/coordination/move_driver.h
@@ -146,6 +146,9 @@
         std::string driver;
         std::vector<std::int64_t> stages;
         time_ms deadline;
+        time_ms elapsed_before;
+        time_ms watch_until;
+        std::size_t stage = 0;
         bool needs_driver = false;
         bool watched = false;
         bool ended = false;
@@ -174,7 +177,7 @@
         std::vector<std::pair<const char*, Json::Value>> changes;
     };
 
-    [[nodiscard]] time_ms elapsed(time_ms now, const move_state& move) const;
+    [[nodiscard]] static time_ms elapsed(time_ms now, const move_state& move);
     [[nodiscard]] bool may_take_over(time_ms now, const move_state& move) const;
     [[nodiscard]] std::uint64_t in_flight_to(const Json::Value& target, const move_sample& sample) const;
     [[nodiscard]] bool old_version_stands(const move_state& move) const;
--- a/tests/move_test.cpp
+++ b/tests/move_test.cpp
@@ -339,9 +339,7 @@
 TEST_CASE("moves: a version that fails late, is slow, or fails under load only is declared done for good") {
     const auto taken_back = [](auto behaviour) {
         version_run run(behaviour);
-        run.world.routes()[0].load.load = [](time_ms now) {
-            return 1 + 0.5 * std::sin(now.count / 60'000.0);
-        };
+        run.world.routes()[0].load.load = [](time_ms now) { return swinging_load(now, time_ms{60'000}); };
         return run.world.run_until(
             [&] {
                 const auto& value = run.world.object(version_key).value;
@@ -364,7 +362,7 @@
     version_run run([](const std::string&, time_ms, double load) {
         return version_behaviour{load > 1.2 ? 0.2 : 0.005, load > 1.2 ? 3.0 : 1.0};
     });
-    run.world.routes()[0].load.load = [](time_ms now) { return 1 + 0.5 * std::sin(now.count / 20'000.0); };
+    run.world.routes()[0].load.load = [](time_ms now) { return swinging_load(now, time_ms{20'000}); };
     REQUIRE(run.finish());
     CAPTURE(run.world.object(version_key).value["result"].asString());
     CAPTURE(run.world.now().count);
