Let the newest of several version moves of a route decide

Cause: after a move to v2 had ended with all requests, a move to v3 listed v2 first with a credit for every request, so v3 received none and would have been taken back at its deadline.

A router test guards both cases.

--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -139,18 +139,28 @@
         };
         group.zone_end = nearer_than(distance::own_zone);
         group.region_end = nearer_than(distance::own_region);
-        for (const auto& share : shares) {
-            if (share.route == listed.name && share.version == group.version)
-                group.share_ppm = std::clamp<std::int64_t>(share.ppm, 0, one_request_ppm);
+        for (std::size_t rank = 0; rank < shares.size(); ++rank) {
+            const auto& share = shares[rank];
+            if (share.route != listed.name || share.version != group.version) continue;
+            group.share_ppm = std::clamp<std::int64_t>(share.ppm, 0, one_request_ppm);
+            group.share_rank = rank;
         }
         if (before == earlier.end()) continue;
         for (const auto& old : before->groups) {
             if (old.version == group.version && group.share_ppm > 0) group.credit = old.credit;
         }
     }
-    // Limited versions come first: they take a request whenever their credit covers one.
-    std::stable_partition(built.groups.begin(), built.groups.end(),
-                          [](const version_group& group) { return group.share_ppm >= 0; });
+    // Limited versions come first: they take a request whenever their credit covers one. The smallest share
+    // is first, because a version that an earlier move has given all requests would leave none to a newer
+    // one.
+    std::stable_sort(built.groups.begin(), built.groups.end(),
+                     [](const version_group& a, const version_group& b) {
+                         const bool a_limited = a.share_ppm >= 0;
+                         const bool b_limited = b.share_ppm >= 0;
+                         if (!a_limited || !b_limited) return a_limited && !b_limited;
+                         if (a.share_ppm != b.share_ppm) return a.share_ppm < b.share_ppm;
+                         return a.share_rank > b.share_rank;
+                     });
     routes_.push_back(std::move(built));
 }
 
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -17,7 +17,8 @@
 namespace lacewing {
 
 /// @brief Largest part of a route's requests that one version may receive.
-/// A version of the route that is not listed is not limited.
+/// A version of the route that is not listed is not limited. Later entries of a list are newer: the last one
+/// holds for a version, and of two versions with equal shares the newer one goes first.
 struct version_share {
     route_name route;
     std::string version;
@@ -166,6 +167,8 @@
         std::string version;
         // Negative: not limited.
         std::int64_t share_ppm = -1;
+        // Position in the list of shares.
+        std::size_t share_rank = 0;
         // Millionths of a request that the version may still receive.
         std::int64_t credit = 0;
         std::vector<std::uint32_t> endpoints;
--- a/src/coordination/serving_snapshot.cpp
+++ b/src/coordination/serving_snapshot.cpp
@@ -103,6 +103,7 @@
     drained_.clear();
     shares_.clear();
     move_in_progress_ = false;
+    std::vector<std::pair<std::int64_t, version_share>> shares;
     for (const auto& [key, object] : objects) {
         const bool drain = key.starts_with(drains_prefix);
         if (object.deleted() || (!drain && !key.starts_with(moves_prefix))) continue;
@@ -116,13 +117,19 @@
             } else {
                 // Until the driver has entered a stage the new version receives nothing.
                 const auto ppm = value["share_ppm"].isInt64() ? value["share_ppm"].asInt64() : 0;
-                shares_.push_back(
-                    {route_name{text_of(value["route"])}, text_of(value["to"]), in_force(value) ? ppm : 0});
+                const auto at = value["requested_at"].isInt64() ? value["requested_at"].asInt64() : 0;
+                shares.emplace_back(at, version_share{route_name{text_of(value["route"])},
+                                                      text_of(value["to"]), in_force(value) ? ppm : 0});
             }
         } catch (const error& problem) {
             rejected_[key] = {key, object.revision, problem.what()};
         }
     }
+    // The newest move last, as version_share requires.
+    std::stable_sort(shares.begin(), shares.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (auto& [at, share] : shares)
+        shares_.push_back(std::move(share));
 }
 
 // Adds the endpoints of a drain target.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -310,3 +310,28 @@
         CHECK(!decide_retry(refused, target, budget, random));
     }
 }
+
+// Guards against a version with all requests by an earlier move that starves, or outlives, a newer one.
+TEST_CASE("a version that an earlier move has put in force hides a newer version") {
+    auto config = make_config({"a"}, 4);
+    config.routes[0].endpoints[1].version = "v2";
+    config.routes[0].endpoints[2].version = "v3";
+    config.routes[0].endpoints[3].version = "v3";
+    router routing(config, {"a"}, seed);
+    const auto now = warm_up(routing, config);
+    const auto count_new = [&](std::int64_t ppm) {
+        routing.update(config, {},
+                       std::vector<version_share>{{{"pay"}, "v2", 1'000'000}, {{"pay"}, "v3", ppm}});
+        int count = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const auto ticket = routing.choose(now, 0);
+            REQUIRE(ticket);
+            count += routing.view(ticket->endpoint).version == "v3" ? 1 : 0;
+            CHECK(routing.view(ticket->endpoint).version != "v1");
+            routing.finish(now, *ticket, result_of(attempt_outcome::success));
+        }
+        return count;
+    };
+    CHECK(count_new(50'000) == 50);
+    CHECK(count_new(1'000'000) == 1000);
+}
