--- a/src/coordination/move_driver.h
+++ b/src/coordination/move_driver.h
@@ -44,7 +44,7 @@
     time_ms min_stage{10'000};
     /// Share of the requests, in millionths, that the old version keeps in the last stage and while the new
     /// version is watched: without requests at the same time there is nothing to compare with.
-    std::int64_t comparison_ppm = 10'000;
+    std::int64_t comparison_ppm = 100'000;
     /// Time for which a version is watched after done.
     time_ms watch_after_done{300'000};
     /// Time after which a write without a known result is tried again.
@@ -146,6 +146,9 @@
         std::string driver;
         std::vector<std::int64_t> stages;
         time_ms deadline;
+        time_ms elapsed_before;
+        time_ms watch_until;
+        std::size_t stage = 0;
         bool needs_driver = false;
         bool watched = false;
         bool ended = false;
@@ -174,7 +177,7 @@
         std::vector<std::pair<const char*, Json::Value>> changes;
     };
 
-    [[nodiscard]] time_ms elapsed(time_ms now, const move_state& move) const;
+    [[nodiscard]] static time_ms elapsed(time_ms now, const move_state& move);
     [[nodiscard]] bool may_take_over(time_ms now, const move_state& move) const;
     [[nodiscard]] std::uint64_t in_flight_to(const Json::Value& target, const move_sample& sample) const;
     [[nodiscard]] bool old_version_stands(const move_state& move) const;
