Add experiments with real processes: fleet and path

`scripts/bench fleet` starts fake_store and 10 to 150 lacewingd on 127.7.0.1, and prints processor time, memory, peer bytes, store calls and the time of a configuration change with a straight-line fit to 870 VMs; `--blocks` adds client blocks. `scripts/bench path` compares one lacewingd with direct calls to fake_endpoint, open loop at 100, 1,000 and 5,000 requests/s, and measures lookups and memory. Processes are started with posix_spawn by the experiment only and are killed by their id, also on SIGINT and SIGTERM.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 namespace lacewing::bench {
 
@@ -22,4 +23,15 @@
 /// @brief Measures the router and compares selection rules on one simulated load.
 int run_routing(std::uint64_t seed);
 
+/// @brief Measures fleets of real processes on loopback: processor time, memory, bytes, store calls and the
+/// time of a configuration change per VM.
+/// @param sizes Numbers of VMs, one fleet after another.
+/// @param blocks Client blocks in the store.
+int run_fleet(const std::vector<int>& sizes, int blocks);
+
+/// @brief Measures the latency that one VM adds to calls of an endpoint, its processor time per request, its
+/// lookups and its memory over many requests, with real processes on loopback.
+/// @param blocks Client blocks in the store.
+int run_path(int blocks);
+
 } // namespace lacewing::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -12,7 +12,8 @@
 int main(int argc, char** argv) {
     static constexpr std::array commands{
         command{"limits", "compare policies for fleet-wide rate limits", run_limits},
-        command{"spread", "cost and speed of membership and configuration propagation", [](std::uint64_t) { return bench_spread(); }},
+        command{"spread", "cost and speed of membership and configuration propagation",
+                [](std::uint64_t) { return bench_spread(); }},
         command{"lookup", "measure the client block table", run_lookup},
         command{"routing", "measure the router and compare selection rules", run_routing},
     };
@@ -25,6 +26,16 @@
         sub->add_option("--seed", seed, "seed of all random choices");
         sub->callback([&status, &seed, run = entry.run] { status = run(seed); });
     }
+    std::vector<int> sizes{10, 30, 60, 150};
+    int blocks = 0;
+    auto* fleet = app.add_subcommand("fleet", "measure fleets of real processes on loopback");
+    fleet->add_option("--sizes", sizes, "numbers of VMs")->delimiter(',')->check(CLI::Range(1, 155));
+    fleet->add_option("--blocks", blocks, "client blocks in the store")->check(CLI::Range(0, 1000000));
+    fleet->callback([&] { status = run_fleet(sizes, blocks); });
+    int path_blocks = 340000;
+    auto* path = app.add_subcommand("path", "measure the request path and lookups of one VM process");
+    path->add_option("--blocks", path_blocks, "client blocks in the store")->check(CLI::Range(0, 1000000));
+    path->callback([&] { status = run_path(path_blocks); });
     CLI11_PARSE(app, argc, argv);
     return status;
 }
