Reduce idle processor time and memory of lacewingd

Cause: the serve thread woke up 200 times a second without requests, and got the key validity every 50 ms and a new view of the entry VMs every 250 ms although nothing had changed. The tables of the once registry were written at the start, which made 8 MB resident. Reading 340,000 blocks left the memory of the parser with the allocator. EVP_sha256() looks its algorithm up for every digest.

The count of requests in flight is now read directly and no longer copied with the tick.

The digest change was not measured on its own.

--- a/src/coordination/once_registry.h
+++ b/src/coordination/once_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/peer_message.h"
+#include "coordination/zeroed_allocator.h"
 #include "state/error_kind.h"
 #include "state/ids.h"
 #include "state/time_ms.h"
@@ -121,9 +122,9 @@
 
     incarnation_id self_;
     // Entries in the order of their beginning.
-    std::vector<entry> ring_;
+    std::vector<entry, zeroed_allocator<entry>> ring_;
     // Hash table of ring positions plus one; 0 is empty.
-    std::vector<std::uint32_t> cells_;
+    std::vector<std::uint32_t, zeroed_allocator<std::uint32_t>> cells_;
     std::uint64_t head_ = 0;
     std::uint64_t tail_ = 0;
     // Latest time seen; wall time never goes back and advances at least as fast as the monotonic clock.
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -8,6 +8,7 @@
 #include <json/json.h>
 
 #include <algorithm>
+#include <malloc.h>
 #include <random>
 
 namespace lacewing {
@@ -23,6 +24,14 @@
 constexpr time_ms entries_interval{250};
 // A policy verdict is renewed with every tick and must not outlive a thread that stopped.
 constexpr time_ms policy_validity{500};
+// Smaller advances of the validity are not worth a wake-up of the serve thread. Well below policy_validity,
+// so that the serve thread never runs out of time while the control thread works.
+constexpr time_ms validity_step{200};
+// Records can change without a new version of the member list, for example by a caller address that arrives
+// late.
+constexpr time_ms full_entries_interval{2000};
+// By then the serve thread has released the previous table, and a series of changes is over.
+constexpr time_ms trim_delay{1000};
 // Time in which callers ask again for entry VMs before a leaving VM refuses them (design 4.10).
 constexpr std::chrono::milliseconds leave_notice{2000};
 constexpr std::chrono::milliseconds leave_poll{20};
@@ -161,6 +170,19 @@
         refresh_budgets(now);
     }
     flush_pending();
+    return_freed_memory(now);
+}
+
+// Reading the blocks takes several times the memory of the table for a moment, which the allocator would
+// keep.
+void control_thread::return_freed_memory(time_ms now) {
+    if (builder_.blocks().get() != seen_blocks_) {
+        seen_blocks_ = builder_.blocks().get();
+        trim_at_ = now + trim_delay;
+    }
+    if (!trim_at_ || now < *trim_at_) return;
+    trim_at_.reset();
+    malloc_trim(0);
 }
 
 void control_thread::on_text(std::string_view text) {
@@ -271,6 +293,13 @@
     if (!to_serve_.push(std::move(input))) log(log_level::warn, "serve_ring_full");
 }
 
+// A shorter validity or another verdict is always sent.
+bool control_thread::needs_sending(const key_validity& validity) const {
+    if (!sent_validity_ || sent_validity_->verdict != validity.verdict) return true;
+    const auto advance = validity.valid_until - sent_validity_->valid_until;
+    return advance < time_ms{} || advance >= validity_step;
+}
+
 void control_thread::refresh_validity(time_ms now) {
     const auto verdict = node_.verdict(now, zones_);
     key_validity validity;
@@ -284,13 +313,18 @@
         (verdict == key_verdict::serve_under_partition_policy && policy.serve_on_partition)) {
         validity.valid_until = now + policy_validity;
     }
-    push(validity);
+    if (!needs_sending(validity)) return;
+    if (to_serve_.push(validity)) sent_validity_ = validity;
 }
 
 // Rebuilds what lookups answer from the membership and the configuration.
 void control_thread::refresh_entries(time_ms now) {
     const auto snapshot = builder_.snapshot();
     if (!snapshot) return;
+    const auto version = node_.members().version();
+    if (snapshot == sent_entries_.snapshot && version == sent_entries_.version &&
+        now < sent_entries_.renew_at)
+        return;
     auto view = std::make_shared<entry_view>();
     view->revision = snapshot->revision;
     view->blocks = builder_.blocks();
@@ -313,8 +347,8 @@
     for (const auto& zone : snapshot->config->zones)
         zones.emplace_back(zone.name, zone.region);
     view->selector = std::make_shared<entry_selector>(candidates, builder_.sites(), zones);
-    push(std::shared_ptr<const entry_view>(std::move(view)));
-    (void)now;
+    if (to_serve_.push(std::shared_ptr<const entry_view>(std::move(view))))
+        sent_entries_ = {snapshot, version, now + full_entries_interval};
 }
 
 // Keeps the roster entry of this VM and hands the shares that follow from it to the serve thread.
@@ -348,6 +382,7 @@
     log(log_level::warn, "fenced", {{"old", to_hex(node_.self().incarnation)}, {"new", to_hex(fresh)}});
     node_.rejoin(fresh, now);
     push(new_incarnation{node_.self()});
+    sent_validity_.reset();
     homes_.emplace(node_.self(), boot_id_);
     unsent_homes_.reset();
     if (builder_.snapshot()) homes_->update(*builder_.snapshot()->config);
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -66,8 +66,10 @@
     void observe_rosters(const std::vector<std::string>& changed);
     void refresh_snapshot();
     void refresh_validity(time_ms now);
+    [[nodiscard]] bool needs_sending(const key_validity& validity) const;
     void refresh_entries(time_ms now);
     void refresh_budgets(time_ms now);
+    void return_freed_memory(time_ms now);
     void rejoin_if_fenced(time_ms now);
 
     boost::asio::io_context context_{1};
@@ -90,6 +92,16 @@
     // States that did not fit into the ring; the newest of each kind is kept and sent again.
     std::shared_ptr<const serving_snapshot> unsent_snapshot_;
     std::optional<home_batch> unsent_homes_;
+    std::optional<key_validity> sent_validity_;
+    // What the last view of the entry VMs was built from.
+    struct {
+        std::shared_ptr<const serving_snapshot> snapshot;
+        std::uint64_t version = 0;
+        time_ms renew_at;
+    } sent_entries_;
+    // Only compared, never read through.
+    const block_table* seen_blocks_ = nullptr;
+    std::optional<time_ms> trim_at_;
     std::uint64_t bad_messages_ = 0;
     std::thread thread_;
 };
--- a/src/daemon/serve_state.cpp
+++ b/src/daemon/serve_state.cpp
@@ -409,6 +409,8 @@
                                                               const std::vector<std::uint32_t>& tried,
                                                               time_ms deadline) {
     const auto now = monotonic_now();
+    // The idle timer alone would let an expired share be used for longer than the refresh interval.
+    if (now - slots_refreshed_ >= slot_refresh_interval) apply_slot_shares(now);
     // The configuration may have changed since the request arrived.
     const auto route = router_->find_route(identity.route->name.value);
     if (!route) throw error(error_kind::no_such_route, "the route was removed");
@@ -533,7 +535,7 @@
     root["keys"]["verdict"] = validity_.verdict;
     root["keys"]["valid_for_ms"] = Json::Int64((validity_.valid_until - monotonic_now()).count);
     root["connections"] = Json::UInt64(connections_.size());
-    root["requests_in_flight"] = Json::UInt64(busy_);
+    root["requests_in_flight"] = Json::UInt64(busy_connections());
     root["leaving"] = leaving_;
     root["idle_endpoint_connections"] = Json::UInt64(pool_.idle_count());
     root["request_ids"] = Json::UInt64(once_.size());
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -19,6 +19,7 @@
 #include <boost/asio.hpp>
 #include <json/value.h>
 
+#include <atomic>
 #include <functional>
 #include <list>
 #include <map>
@@ -191,7 +192,8 @@
     [[nodiscard]] bool leaving() const { return leaving_; }
     /// @brief Counts a finished request; an account of null stands for a caller without an accepted key.
     void record(const request_identity& identity, std::optional<error_kind> kind, time_ms latency);
-    [[nodiscard]] std::size_t busy_connections() const { return busy_; }
+    /// @brief Requests in flight; may be read by any thread.
+    [[nodiscard]] std::size_t busy_connections() const { return busy_.load(std::memory_order_relaxed); }
     [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
     void tick();
     /// @brief State for the dump: JSON text.
@@ -257,7 +259,7 @@
     endpoint_pool pool_;
     serve_metrics metrics_;
     std::list<connection_registration*> connections_;
-    std::size_t busy_ = 0;
+    std::atomic<std::size_t> busy_{0};
     bool leaving_ = false;
     bool refusing_ = false;
 };
--- a/src/daemon/serve_thread.cpp
+++ b/src/daemon/serve_thread.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t input_ring_entries = 4096;
 constexpr std::chrono::milliseconds tick_interval{5};
+// Without requests in flight only timeouts of peers and idle connections are left to check, each of 500 ms or
+// more.
+constexpr std::chrono::milliseconds idle_tick_interval{50};
 constexpr int accept_backlog = 1024;
 
 } // namespace
@@ -74,10 +77,9 @@
 asio::awaitable<void> serve_thread::tick() {
     asio::steady_timer timer(context_);
     while (true) {
-        timer.expires_after(tick_interval);
+        timer.expires_after(state_.busy_connections() > 0 ? tick_interval : idle_tick_interval);
         co_await timer.async_wait(asio::use_awaitable);
         state_.tick();
-        in_flight_.store(state_.busy_connections(), std::memory_order_relaxed);
     }
 }
 
--- a/src/daemon/serve_thread.h
+++ b/src/daemon/serve_thread.h
@@ -35,9 +35,7 @@
     serve_state& state() { return state_; }
     [[nodiscard]] std::string caller_address() const { return caller_address_; }
     /// @brief Requests in flight; may be read by any thread.
-    [[nodiscard]] std::size_t requests_in_flight() const {
-        return in_flight_.load(std::memory_order_relaxed);
-    }
+    [[nodiscard]] std::size_t requests_in_flight() const { return state_.busy_connections(); }
 
 private:
     boost::asio::awaitable<void> accept();
@@ -50,7 +48,6 @@
     serve_state state_;
     ring<serve_input> input_;
     ring<control_input>* to_control_ = nullptr;
-    std::atomic<std::size_t> in_flight_{0};
     std::thread thread_;
 };
 
--- a/src/state/key_digest.cpp
+++ b/src/state/key_digest.cpp
@@ -27,9 +27,12 @@
 } // namespace
 
 key_digest digest_of(std::string_view key) {
+    // EVP_sha256() makes OpenSSL 3 look the algorithm up for every digest, so it is fetched once.
+    static const auto* const sha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
     key_digest digest;
     unsigned length = 0;
-    if (EVP_Digest(key.data(), key.size(), digest.bytes.data(), &length, EVP_sha256(), nullptr) != 1 ||
+    if (sha256 == nullptr ||
+        EVP_Digest(key.data(), key.size(), digest.bytes.data(), &length, sha256, nullptr) != 1 ||
         length != digest.bytes.size()) {
         throw error(error_kind::internal, "SHA-256 is not available");
     }
