--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -26,8 +26,9 @@
 /// @brief Measures fleets of real processes on loopback: processor time, memory, bytes, store calls and the
 /// time of a configuration change per VM.
 /// @param sizes Numbers of VMs, one fleet after another.
+/// @param zones Zones of each fleet; 0: 6, and 17 from 100 VMs on.
 /// @param blocks Client blocks in the store.
-int run_fleet(const std::vector<int>& sizes, int blocks);
+int run_fleet(const std::vector<int>& sizes, int zones, int blocks);
 
 /// @brief Measures the latency that one VM adds to calls of an endpoint, its processor time per request, its
 /// lookups and its memory over many requests, with real processes on loopback.
--- a/src/bench/fleet.cpp
+++ b/src/bench/fleet.cpp
@@ -305,10 +305,10 @@
     int edits_ = 0;
 };
 
-fleet_figures run_size(int nodes, int blocks, const std::filesystem::path& work) {
+fleet_figures run_size(int nodes, int zones, int blocks, const std::filesystem::path& work) {
     fleet_figures figures;
     figures.nodes = nodes;
-    figures.zones = nodes >= many_zones_from ? 17 : std::min(6, nodes);
+    figures.zones = std::min(nodes, zones > 0 ? zones : nodes >= many_zones_from ? 17 : 6);
     const auto start = steady::now();
     fleet running(nodes, figures.zones, work);
     running.wait_for_members(start);
@@ -399,14 +399,14 @@
 
 } // namespace
 
-int run_fleet(const std::vector<int>& sizes, int blocks) {
+int run_fleet(const std::vector<int>& sizes, int zones, int blocks) {
     end_children_on_signal();
     const auto work = std::filesystem::temp_directory_path() / fmt::format("lacewing-fleet-{}", ::getpid());
     std::filesystem::create_directories(work);
     std::vector<fleet_figures> all;
     try {
         for (const int nodes : sizes)
-            all.push_back(run_size(nodes, blocks, work));
+            all.push_back(run_size(nodes, zones, blocks, work));
     } catch (const std::exception& problem) {
         fmt::print(stderr, "fleet: {}; logs in {}\n", problem.what(), work.string());
         return 1;
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -27,11 +27,13 @@
         sub->callback([&status, &seed, run = entry.run] { status = run(seed); });
     }
     std::vector<int> sizes{10, 30, 60, 150};
+    int zones = 0;
     int blocks = 0;
     auto* fleet = app.add_subcommand("fleet", "measure fleets of real processes on loopback");
     fleet->add_option("--sizes", sizes, "numbers of VMs")->delimiter(',')->check(CLI::Range(1, 155));
+    fleet->add_option("--zones", zones, "zones; 0: 6, and 17 from 100 VMs on")->check(CLI::Range(0, 17));
     fleet->add_option("--blocks", blocks, "client blocks in the store")->check(CLI::Range(0, 1000000));
-    fleet->callback([&] { status = run_fleet(sizes, blocks); });
+    fleet->callback([&] { status = run_fleet(sizes, zones, blocks); });
     int path_blocks = 340000;
     auto* path = app.add_subcommand("path", "measure the request path and lookups of one VM process");
     path->add_option("--blocks", path_blocks, "client blocks in the store")->check(CLI::Range(0, 1000000));
