--- /dev/null
+++ b/tests/system/bad_input_test.cpp
@@ -0,0 +1,119 @@
+// Guards against malformed, oversized or slow input that reaches an endpoint or is answered as something
+// else.
+#include "deployment.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <chrono>
+
+using namespace lacewing;
+using namespace lacewing::testing;
+
+namespace {
+
+// An answer that refuses a request and says truthfully that it did not run.
+void check_refused(const http_answer& answer, unsigned status, std::string_view error) {
+    CHECK(answer.status == status);
+    CHECK(answer.error() == error);
+    CHECK(answer.header("X-Lacewing-Effect") == "not_run");
+    CHECK(answer.complete);
+}
+
+http_answer exchange_raw(const std::string& address, std::string_view bytes) {
+    raw_connection connection(address);
+    connection.send(bytes);
+    return connection.receive();
+}
+
+} // namespace
+
+TEST_CASE("bad input: a malformed request line or header reaches an endpoint") {
+    auto& system = shared_deployment();
+    const auto before = system.executed();
+    const auto authorization = fmt::format("Authorization: Bearer {}\r\n", system.office_key());
+    for (const std::string_view line :
+         {"GET\r\n", "GET /r/balance/x\r\n", "GET /r/balance/x HTTP/9.9\r\n",
+          "\x01\x02\x03 /r/balance/x HTTP/1.1\r\n", "GET /r/balance/x HTTP/1.1\r\nNo colon here\r\n",
+          "GET /r/balance/x HTTP/1.1\r\nContent-Length: -4\r\n",
+          "GET /r/balance/x HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n",
+          "POST /r/balance/x HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
+        INFO("first line: " << line);
+        check_refused(exchange_raw(system.caller(1), fmt::format("{}{}\r\nabcd", line, authorization)), 400,
+                      "bad_request");
+    }
+    CHECK(system.executed() == before);
+}
+
+TEST_CASE("bad input: a header above 16 KB is accepted") {
+    auto& system = shared_deployment();
+    const auto before = system.executed();
+    check_refused(
+        system.ask(1, "/r/balance/x", system.office_key(), {{"X-Filler", std::string(17'000, 'f')}}), 431,
+        "header_too_large");
+    check_refused(system.ask(1, "/r/balance/" + std::string(17'000, 'f'), system.office_key()), 431,
+                  "header_too_large");
+    CHECK(system.executed() == before);
+}
+
+TEST_CASE("bad input: a header that stalls holds a connection") {
+    auto& system = shared_deployment();
+    const auto before = system.executed();
+    raw_connection connection(system.caller(1));
+    connection.send("GET /r/balance/x HTTP/1.1\r\nHost: x\r\nAutho");
+    const auto started = std::chrono::steady_clock::now();
+    // The settings of the test allow 1 s.
+    check_refused(connection.receive({5'000}), 408, "request_timeout");
+    CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(4));
+    CHECK(system.executed() == before);
+}
+
+TEST_CASE("bad input: a body over the limit reaches an endpoint") {
+    auto& system = shared_deployment();
+    const auto before = system.executed();
+    // The first VM accepts 1 MB.
+    raw_connection declared(system.caller(0));
+    declared.send(fmt::format("POST /r/scans/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n"
+                              "Content-Length: 1048577\r\n\r\n",
+                              system.office_key()));
+    check_refused(declared.receive(), 413, "body_too_large");
+
+    raw_connection chunked(system.caller(0));
+    chunked.send(fmt::format("POST /r/scans/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n",
+                             system.office_key()));
+    const auto chunk = fmt::format("{:x}\r\n{}\r\n", 16'384, std::string(16'384, 'b'));
+    for (int i = 0; i < 65; ++i)
+        if (!chunked.send(chunk)) break;
+    chunked.send("0\r\n\r\n");
+    const auto answer = chunked.receive();
+    CHECK(answer.status != 200);
+    CHECK(system.executed() == before);
+}
+
+TEST_CASE("bad input: an unknown route or a wrong method is forwarded") {
+    auto& system = shared_deployment();
+    const auto before = system.executed();
+    for (const auto* target : {"/r/unknown/x", "/r/", "/r", "/", "/admin/ledger", "/r//balance/x",
+                               "/R/balance/x", "/r/balance%2fx"}) {
+        INFO("target: " << target);
+        check_refused(system.ask(1, target, system.office_key()), 404, "no_such_route");
+    }
+    for (const auto* method : {"POST", "PUT", "DELETE"}) {
+        INFO("method: " << method);
+        check_refused(call(system.caller(1), method, "/v1/entry"), 400, "bad_request");
+    }
+    check_refused(call(system.caller(1), "GET", "/v1/entry?client=elsewhere"), 400, "bad_request");
+    CHECK(system.executed() == before);
+}
+
+TEST_CASE("bad input: a malformed deadline is replaced by a default") {
+    auto& system = shared_deployment();
+    const auto before = system.executed();
+    for (const auto* deadline : {"0", "-1", "60001", "soon", "5000ms", "1e3", "", "99999999999999999999"}) {
+        INFO("deadline: " << deadline);
+        check_refused(system.ask(1, "/r/balance/x", system.office_key(), {{"X-Deadline-Ms", deadline}}), 400,
+                      "bad_request");
+    }
+    CHECK(system.executed() == before);
+}
--- /dev/null
+++ b/tests/system/deployment.cpp
@@ -0,0 +1,571 @@
+#include "deployment.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ; // NOLINT(readability-redundant-declaration)
+
+namespace lacewing::testing {
+
+namespace http = boost::beast::http;
+using clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::array<std::string_view, 4> route_names{"balance", "payments", "scans", "notices"};
+constexpr std::array<std::string_view, 2> zone_names{"north", "south"};
+constexpr std::size_t endpoints_per_zone = 2;
+constexpr std::size_t endpoint_count = route_names.size() * zone_names.size() * endpoints_per_zone;
+constexpr std::size_t log_tail_bytes = 6000;
+
+constexpr std::string_view default_plans = R"(
+plans:
+  - {name: wide, rate: 20000/s, burst: 20000, weight: 4, routes: [balance, payments, scans]}
+  - {name: narrow, rate: 20000/s, burst: 20000, routes: [balance]}
+accounts:
+  - {name: office, plan: wide}
+  - {name: fitter, plan: wide}
+  - {name: guest, plan: narrow}
+classes: []
+)";
+
+std::string read_text(const std::filesystem::path& file) {
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+sockaddr_in parse_address_of(std::string_view address) {
+    const auto colon = address.rfind(':');
+    sockaddr_in parsed{};
+    parsed.sin_family = AF_INET;
+    parsed.sin_port = htons(static_cast<std::uint16_t>(std::stoi(std::string(address.substr(colon + 1)))));
+    if (inet_pton(AF_INET, std::string(address.substr(0, colon)).c_str(), &parsed.sin_addr) != 1)
+        throw std::runtime_error("malformed address " + std::string(address));
+    return parsed;
+}
+
+// Each deployment has a loopback address of its own, so that its ports cannot be taken by the outgoing
+// connections of other processes, which leave from 127.0.0.1.
+std::string next_host() {
+    static std::atomic<unsigned> count{0};
+    const auto id = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.{}", 16 + id / 250 % 200, 1 + id % 250, 1 + count++ % 250);
+}
+
+// Free ports, all held at the same time so that they differ.
+std::vector<std::string> free_addresses(const std::string& host, std::size_t count) {
+    std::vector<int> sockets;
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < count; ++i) {
+        const int holder = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        auto address = parse_address_of(host + ":0");
+        socklen_t size = sizeof(address);
+        if (bind(holder, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+            getsockname(holder, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+            throw std::runtime_error("no free port on " + host);
+        sockets.push_back(holder);
+        addresses.push_back(fmt::format("{}:{}", host, ntohs(address.sin_port)));
+    }
+    for (const int holder : sockets)
+        close(holder);
+    return addresses;
+}
+
+std::string program(std::string_view name) {
+    return fmt::format("{}/{}", LACEWING_BINARY_DIR, name);
+}
+
+// Values of the lines "NAME VALUE" that a process has printed.
+std::vector<std::string> printed(const child_process& process, std::string_view name) {
+    std::istringstream lines(process.output());
+    std::vector<std::string> values;
+    std::string word;
+    std::string value;
+    while (lines >> word >> value) {
+        if (word == name) values.push_back(value);
+    }
+    return values;
+}
+
+std::vector<std::string> wait_printed(const child_process& process, std::string_view name,
+                                      std::size_t count) {
+    std::vector<std::string> values;
+    const bool done = wait_until([&] {
+        values = printed(process, name);
+        return values.size() >= count;
+    });
+    if (!done) throw std::runtime_error("a process did not start: " + process.output());
+    return values;
+}
+
+// Logs of the deployments that ended during the current test case.
+std::string& ended_logs() {
+    static std::string text;
+    return text;
+}
+
+std::vector<deployment*>& running_deployments() {
+    static std::vector<deployment*> all;
+    return all;
+}
+
+// Prints the logs of all processes after a failed test case.
+struct log_printer : doctest::IReporter {
+    explicit log_printer(const doctest::ContextOptions&) {}
+    void report_query(const doctest::QueryData&) override {}
+    void test_run_start() override {}
+    void test_run_end(const doctest::TestRunStats&) override {}
+    void test_case_start(const doctest::TestCaseData&) override { ended_logs().clear(); }
+    void test_case_reenter(const doctest::TestCaseData&) override {}
+    void test_case_end(const doctest::CurrentTestCaseStats& result) override {
+        if (result.failure_flags == 0) return;
+        fmt::print(stderr, "{}", ended_logs());
+        for (const auto* running : running_deployments())
+            fmt::print(stderr, "{}", running->logs());
+    }
+    void test_case_exception(const doctest::TestCaseException&) override {}
+    void subcase_start(const doctest::SubcaseSignature&) override {}
+    void subcase_end() override {}
+    void log_assert(const doctest::AssertData&) override {}
+    void log_message(const doctest::MessageData&) override {}
+    void test_case_skipped(const doctest::TestCaseData&) override {}
+};
+
+REGISTER_LISTENER("process logs", 1, log_printer);
+
+} // namespace
+
+std::string to_text(const Json::Value& value) {
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+Json::Value http_answer::json() const {
+    Json::Value value;
+    std::istringstream in(body);
+    std::string problem;
+    if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &value, &problem)) return {};
+    return value;
+}
+
+std::string http_answer::error() const {
+    const auto value = json();
+    return value.isObject() ? value["error"].asString() : std::string();
+}
+
+raw_connection::raw_connection(std::string_view address)
+    : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const auto target = parse_address_of(address);
+    if (connect(socket_, reinterpret_cast<const sockaddr*>(&target), sizeof(target)) != 0) {
+        close(socket_);
+        throw std::runtime_error(fmt::format("connect to {} failed", address));
+    }
+}
+
+raw_connection::~raw_connection() {
+    if (socket_ >= 0) close(socket_);
+}
+
+raw_connection::raw_connection(raw_connection&& other) noexcept
+    : socket_(std::exchange(other.socket_, -1)), buffer_(std::move(other.buffer_)) {}
+
+bool raw_connection::send(std::string_view bytes) const {
+    while (!bytes.empty()) {
+        const auto count = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) continue;
+        if (count <= 0) return false;
+        bytes.remove_prefix(static_cast<std::size_t>(count));
+    }
+    return true;
+}
+
+void raw_connection::reset() {
+    const linger hard{1, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    close(std::exchange(socket_, -1));
+}
+
+http_answer raw_connection::receive(time_ms limit) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::uint64_t{1} << 32U);
+    parser.header_limit(64 * 1024);
+    parser.eager(true);
+    const auto end = clock::now() + std::chrono::milliseconds(limit.count);
+    boost::system::error_code failure;
+    std::array<char, 65536> piece{};
+    while (!parser.is_done()) {
+        if (!buffer_.empty()) {
+            const auto used = parser.put(boost::asio::buffer(buffer_), failure);
+            buffer_.erase(0, used);
+            if (failure && failure != http::error::need_more) break;
+            if (used > 0) continue;
+        }
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - clock::now()).count();
+        pollfd waiting{socket_, POLLIN, 0};
+        if (left <= 0 || poll(&waiting, 1, static_cast<int>(left)) <= 0) break;
+        const auto count = recv(socket_, piece.data(), piece.size(), 0);
+        if (count <= 0) {
+            if (count == 0 && parser.is_header_done()) parser.put_eof(failure);
+            break;
+        }
+        buffer_.append(piece.data(), static_cast<std::size_t>(count));
+    }
+    http_answer answer;
+    if (!parser.is_header_done()) return answer;
+    answer.status = parser.get().result_int();
+    answer.headers = parser.get().base();
+    answer.complete = parser.is_done() && !failure;
+    answer.body = parser.get().body();
+    return answer;
+}
+
+std::string request_text(std::string_view method, std::string_view target, const header_list& headers,
+                         std::string_view body) {
+    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: lacewingplank\r\n", method, target);
+    for (const auto& [name, value] : headers)
+        text += fmt::format("{}: {}\r\n", name, value);
+    if (!body.empty() || method == "POST" || method == "PUT")
+        text += fmt::format("Content-Length: {}\r\n", body.size());
+    return text.append("\r\n").append(body);
+}
+
+http_answer call(std::string_view address, std::string_view method, std::string_view target,
+                 const header_list& headers, std::string_view body, time_ms limit) {
+    try {
+        raw_connection connection(address);
+        connection.send(request_text(method, target, headers, body));
+        return connection.receive(limit);
+    } catch (const std::runtime_error&) {
+        return {};
+    }
+}
+
+bool wait_until(const std::function<bool()>& condition, time_ms limit) {
+    const auto end = clock::now() + std::chrono::milliseconds(limit.count);
+    while (!condition()) {
+        if (clock::now() >= end) return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
+                             std::filesystem::path log, const std::filesystem::path& input)
+    : log_(std::move(log)) {
+    std::vector<char*> values{const_cast<char*>(program.c_str())};
+    for (const auto& argument : arguments)
+        values.push_back(const_cast<char*>(argument.c_str()));
+    values.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 0, input.c_str(), O_RDONLY, 0);
+    posix_spawn_file_actions_addopen(&files, 1, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    // Standard error of a program run to its end is kept apart from its answer.
+    const auto errors =
+        log_.extension() == ".out" ? std::filesystem::path(log_).replace_extension(".err") : log_;
+    posix_spawn_file_actions_addopen(&files, 2, errors.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    const int failure = posix_spawn(&id_, program.c_str(), &files, nullptr, values.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (failure != 0) throw std::runtime_error("cannot start " + program);
+}
+
+child_process::~child_process() {
+    kill();
+}
+
+void child_process::signal(int number) const {
+    if (id_ > 0) ::kill(id_, number);
+}
+
+std::optional<int> child_process::wait(time_ms limit) {
+    int status = 0;
+    const bool ended = id_ > 0 && wait_until([&] { return waitpid(id_, &status, WNOHANG) == id_; }, limit);
+    if (!ended) return std::nullopt;
+    id_ = -1;
+    if (!WIFEXITED(status)) return std::nullopt;
+    return WEXITSTATUS(status);
+}
+
+void child_process::kill() {
+    if (id_ <= 0) return;
+    ::kill(id_, SIGKILL);
+    waitpid(std::exchange(id_, -1), nullptr, 0);
+}
+
+std::string child_process::output() const {
+    return read_text(log_);
+}
+
+std::int64_t child_process::status_kb(std::string_view field) const {
+    std::istringstream lines(read_text(fmt::format("/proc/{}/status", id_)));
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with(field)) return std::stoll(line.substr(line.find(':') + 1));
+    }
+    throw std::runtime_error("no such field");
+}
+
+deployment::deployment(deployment_options options) : options_(std::move(options)), host_(next_host()) {
+    std::string pattern = (std::filesystem::temp_directory_path() / "lacewing-system-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
+    folder_ = pattern;
+    running_deployments().push_back(this);
+    store_ = std::make_unique<child_process>(
+        program("fake_store"), std::vector<std::string>{"--listen", host_ + ":0"}, folder_ / "store.log");
+    endpoints_ = std::make_unique<child_process>(
+        program("fake_endpoint"),
+        std::vector<std::string>{"--host", host_, "--admin", host_ + ":0", "--slots", "16", "--count",
+                                 std::to_string(endpoint_count)},
+        folder_ / "endpoints.log");
+    store_address_ = wait_printed(*store_, "listening", 1).front();
+    endpoint_addresses_ = wait_printed(*endpoints_, "listening", endpoint_count);
+    admin_ = wait_printed(*endpoints_, "admin", 1).front();
+
+    const auto addresses = free_addresses(host_, options_.vm_zones.size() * 3);
+    for (std::size_t i = 0; i < options_.vm_zones.size(); ++i) {
+        vms_.push_back(
+            {options_.vm_zones[i], addresses[3 * i], addresses[3 * i + 1], addresses[3 * i + 2], {}});
+    }
+    const auto plans = options_.plans.empty() ? std::string(default_plans) : options_.plans;
+    const auto applied = ctl(
+        {"apply", "--wait", "0", write_file("topology.yaml", topology()), write_file("plans.yaml", plans)});
+    if (applied.status != 0 && applied.status != 5) throw std::runtime_error(applied.err + applied.out);
+    const auto given = ctl({"keys", "give", "office", "--wait", "0"});
+    office_key_ = given.out.substr(0, given.out.find('\n'));
+    if (!options_.start_vms) return;
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+        start_vm(i);
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (!wait_healthy(i) || !wait_serving(i))
+            throw std::runtime_error(fmt::format("VM {} does not serve", i + 1));
+    }
+}
+
+deployment::~deployment() {
+    // The VMs end before the store that they report to.
+    for (auto& vm : vms_)
+        vm.process.reset();
+    ended_logs() += logs();
+    endpoints_.reset();
+    store_.reset();
+    std::erase(running_deployments(), this);
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string deployment::endpoint(std::string_view route, std::string_view zone, std::size_t number) const {
+    const auto row = std::find(route_names.begin(), route_names.end(), route) - route_names.begin();
+    const auto column = std::find(zone_names.begin(), zone_names.end(), zone) - zone_names.begin();
+    const auto place = static_cast<std::size_t>(row) * zone_names.size() + static_cast<std::size_t>(column);
+    return endpoint_addresses_.at(place * endpoints_per_zone + number - 1);
+}
+
+std::string deployment::topology() const {
+    std::string text = "regions:\n  - {name: centre, capacity: 256}\nzones:\n"
+                       "  - {name: north, region: centre}\n  - {name: south, region: centre}\n"
+                       "links: []\nroutes:\n";
+    constexpr std::array<std::string_view, 4> flags{"idempotent: true", "once: true", "idempotent: false",
+                                                    "open: true\n    idempotent: true"};
+    for (std::size_t i = 0; i < route_names.size(); ++i) {
+        text += fmt::format("  - name: {}\n    {}\n    endpoints:\n", route_names[i], flags[i]);
+        for (const auto zone : zone_names) {
+            for (std::size_t number = 1; number <= endpoints_per_zone; ++number) {
+                text +=
+                    fmt::format("      - {{name: {}-{}-{}, zone: {}, address: \"{}\", slots: 16, "
+                                "connections: 400}}\n",
+                                route_names[i], zone, number, zone, endpoint(route_names[i], zone, number));
+            }
+        }
+    }
+    return text;
+}
+
+std::string deployment::write_file(std::string_view name, std::string_view text) const {
+    const auto file = folder_ / name;
+    std::ofstream(file, std::ios::binary) << text;
+    return file.string();
+}
+
+void deployment::write_settings(std::size_t index) const {
+    const auto& vm = vms_[index];
+    std::string seeds;
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (i != index) seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ", ", vms_[i].peer);
+    }
+    write_file(fmt::format("vm-{}.yaml", index + 1),
+               fmt::format("vm: vm-{}\nzone: {}\ncaller_listen: {}\npeer_listen: {}\noperator_listen: {}\n"
+                           "store: {}\nseeds: [{}]\nlimits:\n  header_bytes: 16384\n"
+                           "  header_timeout_ms: 1000ms\n  body_bytes: {}\n",
+                           index + 1, vm.zone, vm.caller, vm.peer, vm.operators, store_address_, seeds,
+                           index == 0 ? options_.first_body_bytes : 268'435'456));
+}
+
+void deployment::start_vm(std::size_t index) {
+    write_settings(index);
+    const auto name = fmt::format("vm-{}", index + 1);
+    vms_[index].process = std::make_unique<child_process>(
+        program("lacewingd"), std::vector<std::string>{"--settings", (folder_ / (name + ".yaml")).string()},
+        folder_ / (name + ".log"));
+}
+
+bool deployment::wait_healthy(std::size_t index, time_ms limit) {
+    return wait_until([&] { return call(operators(index), "GET", "/healthz").status == 200; }, limit);
+}
+
+bool deployment::wait_serving(std::size_t index, time_ms limit) {
+    return wait_until(
+        [&] {
+            return ask(index, "/r/balance/ready", office_key_).status == 200 &&
+                   ask(index, "/r/scans/ready", office_key_).status == 200 &&
+                   ask(index, "/r/notices/ready", {}).status == 200 &&
+                   ask(index, "/r/payments/ready", office_key_,
+                       {{"X-Request-Id", bound_id(index, index, fmt::format("{}", getpid()))}})
+                           .error() != "no_capacity";
+        },
+        limit);
+}
+
+program_result deployment::ctl(const std::vector<std::string>& arguments, std::string_view input) const {
+    static std::atomic<int> count{0};
+    const auto number = count++;
+    std::vector<std::string> all{"--store", store_address_, "--as", "tester"};
+    for (const auto& vm : vms_) {
+        all.emplace_back("--vm");
+        all.push_back(vm.operators);
+    }
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    const auto in = write_file(fmt::format("ctl-{}.in", number), input);
+    const auto out = folder_ / fmt::format("ctl-{}.out", number);
+    child_process process(program("lacewingctl"), all, out, in);
+    program_result result;
+    result.status = process.wait({20'000}).value_or(-1);
+    result.out = read_text(out);
+    result.err = read_text(std::filesystem::path(out).replace_extension(".err"));
+    return result;
+}
+
+std::string deployment::give_key(const std::string& account) const {
+    const auto given = ctl({"keys", "give", account});
+    if (given.status != 0) throw std::runtime_error(given.err + given.out);
+    return given.out.substr(0, given.out.find('\n'));
+}
+
+http_answer deployment::ask(std::size_t vm, std::string_view target, std::string_view key,
+                            header_list headers, std::string_view method, std::string_view body,
+                            time_ms limit) const {
+    if (!key.empty()) headers.emplace_back("Authorization", fmt::format("Bearer {}", key));
+    return call(caller(vm), method, target, headers, body, limit);
+}
+
+std::string deployment::bound_id(std::size_t vm, std::size_t asked, std::string_view suffix) const {
+    const auto answer = call(caller(asked), "GET", "/v1/entry").json();
+    if (!answer.isObject()) return {};
+    for (const auto& entry : answer["vms"]) {
+        if (entry["address"].asString() == caller(vm))
+            return fmt::format("{}-{}", entry["id_prefix"].asString(), suffix);
+    }
+    return {};
+}
+
+void deployment::behave(std::string_view change, std::string_view endpoint) const {
+    std::string body(change);
+    if (!endpoint.empty()) body.insert(1, fmt::format(R"("endpoint":"{}",)", endpoint));
+    const auto answer = call(admin_, "POST", "/admin/behaviour", {}, body);
+    if (answer.status != 200) throw std::runtime_error("behaviour not accepted: " + answer.body);
+}
+
+bool deployment::recover() {
+    behave(R"({"answer_fault":"none","answer_fraction":1,"draining":false,"service_ms":2,"slots":16,)"
+           R"("padding":0,"fail_fraction":0})");
+    bool serving = true;
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+        serving = serving && wait_serving(i);
+    return serving;
+}
+
+Json::Value deployment::ledger(std::size_t first) const {
+    return call(admin_, "GET", fmt::format("/admin/ledger?first={}", first)).json();
+}
+
+Json::Value deployment::summary(std::string_view search) const {
+    const auto target =
+        search.empty() ? std::string("/admin/summary") : fmt::format("/admin/summary?search={}", search);
+    return call(admin_, "GET", target).json();
+}
+
+std::uint64_t deployment::executed() const {
+    return summary()["executed"].asUInt64();
+}
+
+std::size_t deployment::executions_of(std::string_view request_id) const {
+    std::size_t count = 0;
+    const auto all = ledger();
+    for (const auto& entry : all["executions"])
+        count += entry["request_id"].asString() == request_id ? 1 : 0;
+    return count;
+}
+
+void deployment::store_faults(std::string_view faults) const {
+    if (call(store_address_, "POST", "/admin/faults", {}, faults).status != 200)
+        throw std::runtime_error("store faults not accepted");
+}
+
+Json::Value deployment::stored(std::string_view key) const {
+    const auto answer = call(store_address_, "GET", fmt::format("/v1/objects/{}", key));
+    if (answer.status == 200) return answer.json();
+    Json::Value absent;
+    absent["revision"] = 0;
+    return absent;
+}
+
+http_answer deployment::put(std::string_view key, const Json::Value& value, std::uint64_t expected) const {
+    return call(store_address_, "PUT", fmt::format("/v1/objects/{}", key),
+                {{"If-Match", std::to_string(expected)}}, to_text(value));
+}
+
+Json::Value deployment::dump(std::size_t vm) const {
+    return call(operators(vm), "GET", "/dump").json();
+}
+
+std::string deployment::logs() const {
+    std::string text;
+    for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+        if (entry.path().extension() != ".log") continue;
+        auto log = read_text(entry.path());
+        if (log.size() > log_tail_bytes) log.erase(0, log.size() - log_tail_bytes);
+        text += fmt::format("--- {}\n{}", entry.path().filename().string(), log);
+    }
+    return text;
+}
+
+deployment& shared_deployment() {
+    static deployment shared;
+    return shared;
+}
+
+} // namespace lacewing::testing
--- /dev/null
+++ b/tests/system/golden_sessions_test.cpp
@@ -0,0 +1,270 @@
+// Guards against unintended changes of what callers and operators read: compares whole sessions with
+// tests/golden/*.txt. `scripts/golden --renew` writes these files anew.
+#include "deployment.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <regex>
+#include <sstream>
+#include <thread>
+
+using namespace lacewing;
+using namespace lacewing::testing;
+
+namespace {
+
+void replace_all(std::string& text, std::string_view from, std::string_view to) {
+    if (from.empty()) return;
+    for (auto at = text.find(from); at != std::string::npos; at = text.find(from, at + to.size()))
+        text.replace(at, from.size(), to);
+}
+
+// Replaces addresses, keys, ids, times and revisions, which differ from run to run.
+std::string normalised(const deployment& system, std::string text) {
+    replace_all(text, system.office_key(), "OFFICE-KEY");
+    for (std::size_t i = 0; i < system.vm_count(); ++i) {
+        replace_all(text, system.caller(i), fmt::format("VM-{}-CALLERS", i + 1));
+        replace_all(text, system.operators(i), fmt::format("VM-{}-OPERATORS", i + 1));
+    }
+    for (const auto* route : {"balance", "payments", "scans", "notices"}) {
+        for (const auto* zone : {"north", "south"}) {
+            for (const std::size_t number : {std::size_t{1}, std::size_t{2}})
+                replace_all(text, system.endpoint(route, zone, number),
+                            fmt::format("{}-{}-{}", route, zone, number));
+        }
+    }
+    replace_all(text, system.store(), "STORE");
+    replace_all(text, system.folder().string(), "FOLDER");
+    const std::vector<std::pair<std::string, std::string>> patterns{
+        {R"(lwk_[0-9a-f]{64})", "KEY"},
+        {R"([0-9a-f]{64})", "DIGEST"},
+        {R"([0-9a-f]{16}-[0-9a-f]{8}\b)", "ID-PREFIX"},
+        {R"(\b[0-9a-f]{16}:[0-9]+)", "WRITER"},
+        {R"(\b[0-9a-f]{16}\b)", "HEX"},
+        {R"re(("(revision|config_revision|at|requested_at|waited_ms)" ?: ?)[0-9]+)re", "$1N"},
+        {R"(revision [0-9]+)", "revision N"},
+        {R"(history/[0-9]+)", "history/N"},
+        {R"( at [0-9]+ by)", " at TIME by"},
+        {R"(after [0-9]+ ms)", "after N ms"},
+        {R"((alive|leaving|suspect|dead)( +)[0-9]+)", "$1$2N"},
+        {R"(X-Load: [0-9.]+)", "X-Load: LOAD"},
+        {R"((VM-[0-9]-[A-Z]+) +)", "$1 "},
+    };
+    for (const auto& [pattern, value] : patterns)
+        text = std::regex_replace(text, std::regex(pattern), value);
+    return text;
+}
+
+// Compares a session with its file, or writes the file when LACEWING_RENEW_GOLDEN is set.
+void check_golden(const std::string& name, const std::string& text) {
+    const auto file = fmt::format("{}/tests/golden/{}", LACEWING_SOURCE_DIR, name);
+    if (std::getenv("LACEWING_RENEW_GOLDEN") != nullptr) { // NOLINT(concurrency-mt-unsafe)
+        std::ofstream(file) << text;
+        return;
+    }
+    std::ifstream in(file);
+    std::ostringstream expected;
+    expected << in.rdbuf();
+    std::istringstream left(expected.str());
+    std::istringstream right(text);
+    std::string wanted;
+    std::string seen;
+    for (int line = 1;; ++line) {
+        const bool more_wanted = static_cast<bool>(std::getline(left, wanted));
+        const bool more_seen = static_cast<bool>(std::getline(right, seen));
+        if (!more_wanted && !more_seen) break;
+        INFO(name << " line " << line << "; renew with scripts/golden --renew when the change is intended");
+        CHECK(more_wanted == more_seen);
+        CHECK(wanted == seen);
+        if (more_wanted != more_seen || wanted != seen) break;
+    }
+}
+
+class caller_session {
+public:
+    explicit caller_session(deployment& system) : system_(system) {}
+
+    // Appends a title, the request and its answer.
+    http_answer record(std::string_view title, std::size_t vm, const std::string& request,
+                       time_ms limit = {10'000}) {
+        raw_connection connection(system_.caller(vm));
+        connection.send(request);
+        auto answer = connection.receive(limit);
+        append(title, request, answer);
+        return answer;
+    }
+
+    void append(std::string_view title, const std::string& request, const http_answer& answer) {
+        text_ += fmt::format("# {}\n", title);
+        std::istringstream lines(request);
+        std::string line;
+        while (std::getline(lines, line)) {
+            if (!line.empty() && line.back() == '\r') line.pop_back();
+            if (line.size() > 200) line = line.substr(0, 40) + fmt::format("... {} bytes", line.size());
+            text_ += fmt::format("> {}\n", line);
+        }
+        text_ += fmt::format("< {}\n", answer.status);
+        for (const auto& field : answer.headers)
+            text_ += fmt::format("< {}: {}\n", std::string(field.name_string()), std::string(field.value()));
+        // The order of the VMs in an answer differs from caller to caller.
+        text_ += fmt::format("< {}{}\n", answer.body, answer.complete ? "" : "(broken off)");
+    }
+
+    // Lengths depend on the replaced values.
+    [[nodiscard]] std::string text() const {
+        return std::regex_replace(normalised(system_, text_), std::regex("< Content-Length: [0-9]+"),
+                                  "< Content-Length: N");
+    }
+
+private:
+    deployment& system_;
+    std::string text_;
+};
+
+} // namespace
+
+TEST_CASE("golden: a session of a caller reads differently") {
+    deployment_options options;
+    options.vm_zones = {"north", "south"};
+    options.first_body_bytes = 1'000;
+    options.plans = "plans:\n"
+                    "  - {name: wide, rate: 20000/s, burst: 20000, routes: [balance, payments, scans]}\n"
+                    "  - {name: tiny, rate: 1/s, burst: 4, routes: [balance]}\n"
+                    "accounts:\n  - {name: office, plan: wide}\n  - {name: kiosk, plan: tiny}\n"
+                    "classes: []\n";
+    deployment system(options);
+    const auto kiosk = system.give_key("kiosk");
+    const std::pair<std::string, std::string> key{"Authorization", "Bearer " + system.office_key()};
+    const std::pair<std::string, std::string> deadline{"X-Deadline-Ms", "400"};
+    caller_session session(system);
+
+    auto lookup = call(system.caller(0), "GET", "/v1/entry?client=127.0.0.1");
+    // The order of the VMs depends on the hash of their incarnations.
+    lookup.body = std::regex_replace(lookup.body, std::regex(R"(\[.*\])"), "[...]");
+    session.append("lookup", request_text("GET", "/v1/entry?client=127.0.0.1"), lookup);
+    CHECK(system.bound_id(0, 0, "x").size() == 16 + 1 + 8 + 2);
+    system.behave(R"({"report_load":false})");
+    const auto good =
+        system.ask(0, "/r/balance/plots/7?year=2081", system.office_key(), {{"X-Request-Id", "good"}});
+    auto shown = good;
+    // Any of the endpoints of the zone may answer.
+    shown.body =
+        std::regex_replace(shown.body, std::regex("\"endpoint\":\"[^\"]*\""), "\"endpoint\":\"ENDPOINT\"");
+    session.append("good request",
+                   request_text("GET", "/r/balance/plots/7?year=2081", {key, {"X-Request-Id", "good"}}),
+                   shown);
+
+    session.record("bad_request: malformed deadline", 0,
+                   request_text("GET", "/r/balance/x", {key, {"X-Deadline-Ms", "soon"}}));
+    session.record("bad_request: malformed request line", 0, "GET\r\n\r\n");
+    session.record("bad_request: no request id", 0, request_text("POST", "/r/payments/x", {key}, "dues"));
+    session.record("key_rejected: unknown key", 0,
+                   request_text("GET", "/r/balance/x", {{"Authorization", "Bearer lwk_unknown"}}));
+    session.record("key_rejected: no key", 0, request_text("GET", "/r/balance/x"));
+    session.record("route_not_in_plan", 0, request_text("GET", "/r/scans/x", {{"X-Api-Key", kiosk}}));
+    session.record("no_such_route", 0, request_text("GET", "/r/unknown/x", {key}));
+    session.record("request_timeout", 0, "GET /r/balance/x HTTP/1.1\r\nHost: lace");
+    session.record("body_too_large", 0, request_text("POST", "/r/scans/x", {key}, std::string(1'001, 'b')));
+    session.record("header_too_large", 0,
+                   request_text("GET", "/r/balance/x", {key, {"X-Filler", std::string(17'000, 'f')}}));
+    http_answer limited;
+    const auto hurried = request_text("GET", "/r/balance/x", {{"X-Api-Key", kiosk}});
+    CHECK(wait_until([&] {
+        limited = call(system.caller(0), "GET", "/r/balance/x", {{"X-Api-Key", kiosk}});
+        return limited.status == 429;
+    }));
+    session.append("rate_exceeded", hurried, limited);
+
+    const auto id = system.bound_id(0, 0, "paid");
+    const auto payment = request_text("POST", "/r/payments/x", {key, {"X-Request-Id", id}}, "dues");
+    CHECK(call(system.caller(0), "POST", "/r/payments/x", {key, {"X-Request-Id", id}}, "dues").status == 200);
+    session.record("duplicate_request: same VM", 0, payment);
+    session.record("duplicate_request: another VM", 1, payment);
+    const auto elsewhere = fmt::format("0123456789abcdef{}", id.substr(16));
+    session.record("outcome_unknown: id of a VM that is gone", 0,
+                   request_text("POST", "/r/payments/x", {key, {"X-Request-Id", elsewhere}}, "dues"));
+
+    system.behave(R"({"answer_fault":"late","late_ms":1000})");
+    session.record("deadline_exceeded", 0, request_text("GET", "/r/scans/x", {key, deadline}));
+    REQUIRE(system.recover());
+    system.behave(R"({"answer_fault":"reset_before_answer"})");
+    session.record("endpoint_failed", 0, request_text("GET", "/r/scans/x", {key, deadline}));
+    REQUIRE(system.recover());
+    system.behave(R"({"answer_fault":"truncated","padding":200})");
+    session.record("answer_truncated", 0, request_text("GET", "/r/scans/x", {key, deadline}));
+    REQUIRE(system.recover());
+    system.behave(R"({"service_ms":900})");
+    std::vector<std::thread> busy;
+    for (int i = 0; i < 32; ++i)
+        busy.emplace_back([&] { system.ask(1, "/r/scans/x", system.office_key()); });
+    CHECK(wait_until([&] {
+        const auto summary = system.summary();
+        std::int64_t in_flight = 0;
+        for (const auto& entry : summary["endpoints"])
+            in_flight += entry["in_flight"].asInt64();
+        return in_flight == 32;
+    }));
+    session.record("no_capacity", 1, request_text("GET", "/r/scans/x", {key, {"X-Deadline-Ms", "100"}}));
+    for (auto& caller : busy)
+        caller.join();
+    system.vm(1).signal(SIGTERM);
+    http_answer leaving;
+    CHECK(wait_until([&] {
+        leaving = call(system.caller(1), "GET", "/r/balance/x", {key});
+        return leaving.error() == "vm_leaving";
+    }));
+    session.append("vm_leaving", request_text("GET", "/r/balance/x", {key}), leaving);
+    check_golden("caller_session.txt", session.text());
+}
+
+TEST_CASE("golden: a session of an operator reads differently") {
+    deployment_options options;
+    options.vm_zones = {"north", "south"};
+    deployment system(options);
+    std::string text;
+    const auto record = [&](const std::vector<std::string>& arguments, std::string_view input = {}) {
+        const auto result = system.ctl(arguments, input);
+        text += "$ lacewingctl";
+        for (const auto& argument : arguments)
+            text += " " + argument;
+        text += fmt::format("\n{}{}", result.out, result.err);
+        if (!text.ends_with('\n')) text += '\n';
+        text += fmt::format("exit status {}\n\n", result.status);
+        return result;
+    };
+    const auto topology = system.write_file("topology.yaml", system.topology());
+    const auto plans =
+        system.write_file("plans.yaml", "plans:\n"
+                                        "  - {name: wide, rate: 100/s, burst: 50, routes: [balance]}\n"
+                                        "  - {name: narrow, rate: 600/min, burst: 20, "
+                                        "routes: [balance]}\n");
+    const auto accounts = system.write_file("accounts.yaml", "accounts:\n  - {name: office, plan: wide}\n"
+                                                             "  - {name: guest, plan: narrow}\n");
+    const auto wrong = system.write_file("wrong.yaml", "plans:\n  - {name: wide, rate: -1/s, burst: 50, "
+                                                       "routes: [balance]}\n");
+    record({"check", topology, plans, accounts});
+    record({"check", wrong});
+    record({"check", system.folder().string() + "/missing.yaml"});
+    record({"diff", plans});
+    record({"apply", plans, accounts});
+    record({"apply", plans, accounts});
+    record({"get"});
+    const auto given = record({"keys", "give", "guest"});
+    record({"keys", "give", "stranger"});
+    record({"keys", "withdraw", "guest", "-"}, given.out.substr(0, given.out.find('\n') + 1));
+    record({"keys", "withdraw", "guest", "lwk_unknown"});
+    record({"drain", "start", "--endpoint", "balance-north-1", "--deadline", "60"});
+    record({"drain", "start", "--endpoint", "balance-north-1", "--deadline", "60"});
+    record({"drain", "start", "--endpoint", "unknown"});
+    record({"drain", "status"});
+    record({"drain", "cancel", "endpoint-balance-north-1"});
+    record({"drain", "cancel", "endpoint-balance-north-1"});
+    record({"status"});
+    record({"history"});
+    record({"frobnicate"});
+    check_golden("operator_session.txt", normalised(system, text));
+}
