--- a/tests/system/at_most_once_test.cpp
+++ b/tests/system/at_most_once_test.cpp
@@ -132,6 +132,12 @@
     CHECK(system.executions_of(during) == (answer.status == 200 ? 1U : 0U));
     CHECK(
         wait_until([&] { return system.bound_id(1, 1, "x").substr(0, 16) != ran.substr(0, 16); }, {15'000}));
+    // After the pause the VM refuses keyed requests until its key list is confirmed again.
+    const auto keys_fresh = [&] {
+        return wait_until(
+            [&] { return system.ask(1, "/r/payments/x", system.office_key()).error() == "bad_request"; });
+    };
+    REQUIRE(keys_fresh());
     for (std::size_t vm = 0; vm < system.vm_count(); ++vm) {
         for (const auto& id : {ran, fresh, after}) {
             INFO("VM " << vm + 1 << ", id " << id);
@@ -153,6 +159,7 @@
     }
     system.start_vm(1);
     REQUIRE(system.wait_healthy(1));
+    REQUIRE(keys_fresh());
     for (const auto& id : {killed_ran, killed_fresh})
         CHECK(pay(system, 1, id).error() == "outcome_unknown");
     CHECK(system.executions_of(killed_ran) == 1);
