--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -23,8 +23,9 @@
 // Shorter than half of the freshness bound, so that a lost answer does not make the keys stale.
 constexpr time_ms watch_wait{500};
 constexpr time_ms entries_interval{250};
-// Smaller advances of the validity are not worth a wake-up of the serve thread. Well below the period for which a
-// verdict under a policy is valid, so that the serve thread never runs out of time while the control thread works.
+// Smaller advances of the validity are not worth a wake-up of the serve thread. Well below the period for
+// which a verdict under a policy is valid, so that the serve thread never runs out of time while the control
+// thread works.
 constexpr time_ms validity_step{200};
 // Records can change without a new version of the member list, for example by a caller address that arrives
 // late.
