--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -299,7 +299,10 @@
 }
 
 void child_process::signal(int number) const {
-    if (id_ > 0) ::kill(id_, number);
+    if (id_ <= 0) return;
+    ::kill(id_, number);
+    // The stop takes effect when the last thread has stopped.
+    if (number == SIGSTOP) waitpid(id_, nullptr, WUNTRACED);
 }
 
 std::optional<int> child_process::wait(time_ms limit) {
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -86,6 +86,7 @@
     child_process& operator=(const child_process&) = delete;
 
     [[nodiscard]] pid_t id() const { return id_; }
+    /// @brief Sends a signal; after SIGSTOP the process has stopped when this returns.
     void signal(int number) const;
     /// @brief Waits for the end; the exit status, or nothing when it still runs or was ended by a signal.
     std::optional<int> wait(time_ms limit);
