--- a/src/bench/moves.cpp
+++ b/src/bench/moves.cpp
@@ -13,7 +13,7 @@
 
 constexpr int moves_per_kind = 1000;
 constexpr int deadline_s = 600;
-constexpr unsigned threads = 5;
+constexpr unsigned threads = 8;
 constexpr double target_good_done = 99;
 constexpr double target_bad_back = 99;
 constexpr double target_to_bad = 1.5;
