--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -283,9 +283,10 @@
 void control_thread::offer_snapshot() {
     auto stopped = moves_->stopped();
     if (stopped == stopped_ || !builder_.snapshot()) return;
-    for (const auto& version : stopped)
+    for (const auto& version : stopped) {
         log(log_level::warn, "version_stopped",
             {{"route", version.route.value}, {"version", version.version}});
+    }
     stopped_ = std::move(stopped);
     unsent_snapshot_ = with_stops(builder_.snapshot(), stopped_);
     flush_pending();
