--- a/src/bench/child_process.cpp
+++ b/src/bench/child_process.cpp
@@ -67,6 +67,7 @@
     std::vector<std::string> words{path.string()};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (auto& word : words)
         argv.push_back(word.data());
     argv.push_back(nullptr);
