--- a/tests/system/answer_integrity_test.cpp
+++ b/tests/system/answer_integrity_test.cpp
@@ -56,8 +56,8 @@
 void check_answers(const deployment& system, const std::vector<sent_request>& requests, bool repeatable) {
     auto executed = executions_by_id(system);
     for (const auto& request : requests) {
-        const auto& id = request.first;
-        const auto& answer = request.second;
+        const auto& id = request.id;
+        const auto& answer = request.answer;
         INFO("id " << id << ", status " << answer.status << ", body " << answer.body.substr(0, 200));
         const auto effect = answer.header("X-Lacewing-Effect");
         if (answer.status == 200 && answer.complete) {
