Write the time into the audit records of moves

Cause: the driver knows no wall clock, so lacewingctl history showed its records at time 0, which no auditor can use.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -72,6 +72,18 @@
     return "dead";
 }
 
+// Adds the time to an audit record. Decisions know no wall clock, so it is added when the record is written.
+std::string with_wall_clock(const conditional_write& write) {
+    if (!write.key.starts_with("history/")) return write.value;
+    Json::Value record;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    const auto* begin = write.value.data();
+    if (!reader->parse(begin, begin + write.value.size(), &record, nullptr) || !record.isObject())
+        return write.value;
+    record["at"] = Json::Int64(unix_seconds_now());
+    return write_json(record);
+}
+
 // Whether the serve thread handles a message.
 bool concerns_serving(const peer_payload& payload) {
     return std::holds_alternative<loan_request>(payload) || std::holds_alternative<loan_grant>(payload) ||
@@ -335,7 +347,8 @@
 
 asio::awaitable<void> control_thread::write_move(conditional_write write) {
     // The value is unchanged in `write`, by which the driver recognises the result.
-    const auto result = co_await store_.put(write.key, write.value, write.expected);
+    const std::string value = with_wall_clock(write);
+    const auto result = co_await store_.put(write.key, value, write.expected);
     const auto now = monotonic_now();
     if (const auto* done = std::get_if<store_done>(&result)) {
         log(log_level::info, "move_step_written", {{"key", write.key}, {"revision", done->revision.value}});
--- a/tests/system/drain_and_upload_test.cpp
+++ b/tests/system/drain_and_upload_test.cpp
@@ -55,6 +55,12 @@
         return system.ctl({"drain", "status", "endpoint-balance-north-1"}).out.find(" done ") !=
                std::string::npos;
     }));
+    // An audit record without a time explains nothing.
+    CHECK(wait_until([&] {
+        const auto records = system.ctl({"history"}).out;
+        return records.find("balance-north-1 done") != std::string::npos &&
+               records.find(" at 0 ") == std::string::npos;
+    }));
     CHECK(system.ctl({"drain", "cancel", "endpoint-balance-north-1"}).status == 3);
     CHECK(last_request() == newest);
     CHECK(system.ctl({"drain", "end", "endpoint-balance-north-1"}).status == 0);
