--- /dev/null
+++ b/src/coordination/account_limiter.cpp
@@ -0,0 +1,142 @@
+#include "coordination/account_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewing {
+
+namespace {
+
+// Demand is measured over at least this time, the interval of reports.
+constexpr time_ms demand_interval{250};
+constexpr double demand_smoothing = 0.4;
+// A peer whose report is older than this no longer counts in the division of the refill.
+constexpr time_ms stale_report{1500};
+// Every VM counts with a little demand, so that the first request of an account finds a share.
+constexpr double least_demand_per_s = 0.5;
+// The local part of the refill may be saved for this long, in seconds.
+constexpr double saved_refill_s = 0.5;
+constexpr time_ms shortest_retry{100};
+constexpr time_ms longest_retry{2000};
+
+} // namespace
+
+void account_limiter::configure(time_ms now, const std::vector<service_account>& accounts) {
+    std::unordered_map<std::string, bucket> kept;
+    for (const auto& account : accounts) {
+        const auto found = buckets_.find(account.name.value);
+        auto& entry = kept[account.name.value];
+        if (found != buckets_.end()) {
+            entry = std::move(found->second);
+            refill(now, entry);
+        } else {
+            entry.level = fleet_start_ ? account.burst : 0;
+            entry.updated = now;
+            entry.measured_at = now;
+        }
+        entry.rate = account.rate_per_s;
+        entry.burst = account.burst;
+        entry.level = std::min(entry.level, entry.burst);
+    }
+    buckets_ = std::move(kept);
+}
+
+void account_limiter::set_fleet(std::size_t known, std::size_t heard, bool connected) {
+    known_ = std::max<std::size_t>(1, known);
+    heard_ = std::max<std::size_t>(1, heard);
+    connected_ = connected;
+}
+
+// Share of this VM in the demand of the VMs that it hears.
+double account_limiter::share(time_ms now, const bucket& of) const {
+    const double own = of.asked_per_s + least_demand_per_s;
+    double total = own;
+    std::size_t counted = 1;
+    for (const auto& [vm, peer] : of.peers) {
+        if (now - peer.updated > stale_report) continue;
+        total += peer.asked_per_s + least_demand_per_s;
+        ++counted;
+    }
+    const auto silent = heard_ > counted ? static_cast<double>(heard_ - counted) : 0.0;
+    return own / (total + silent * least_demand_per_s);
+}
+
+void account_limiter::refill(time_ms now, bucket& of) const {
+    const double seconds = static_cast<double>((now - of.updated).count) / 1000.0;
+    if (seconds <= 0) return;
+    of.updated = now;
+    double rate = of.rate;
+    if (!connected_) rate *= cut_off_share * static_cast<double>(heard_) / static_cast<double>(known_);
+    of.level = std::min(of.burst, of.level + rate * seconds);
+    const double own_rate = rate * share(now, of);
+    const double saved = std::max(1.0, own_rate * saved_refill_s);
+    of.own_level = std::min(saved, of.own_level + own_rate * seconds);
+    const auto span = now - of.measured_at;
+    if (span >= demand_interval) {
+        const double asked = static_cast<double>(of.own.asked - of.measured.asked);
+        const double per_s = asked * 1000.0 / static_cast<double>(span.count);
+        of.asked_per_s += demand_smoothing * (per_s - of.asked_per_s);
+        of.measured = of.own;
+        of.measured_at = now;
+    }
+}
+
+account_limiter::decision account_limiter::ask(time_ms now, const std::string& account) {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end() || found->second.rate <= 0) return {};
+    auto& entry = found->second;
+    refill(now, entry);
+    ++entry.own.asked;
+    const bool plenty = connected_ && entry.level >= std::max(1.0, entry.burst / 2);
+    // A debt of the fleet beyond the burst means that reports came late; the refill pays it back first.
+    const bool indebted = entry.level < -entry.burst;
+    if (plenty || (!indebted && entry.own_level >= 1)) {
+        entry.level -= 1;
+        entry.own_level = std::max(0.0, entry.own_level - 1);
+        ++entry.own.admitted;
+        return {};
+    }
+    const double own_rate = std::max(0.1, entry.rate * share(now, entry));
+    const auto wait = static_cast<std::int64_t>(std::ceil((1 - entry.own_level) * 1000 / own_rate));
+    return {false, std::clamp(time_ms{wait}, shortest_retry, longest_retry)};
+}
+
+void account_limiter::refund(const std::string& account) {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) return;
+    found->second.level += 1;
+    found->second.own_level += 1;
+    --found->second.own.admitted;
+}
+
+void account_limiter::on_report(time_ms now, const vm_report& report) {
+    for (const auto& [account, totals] : report.usage) {
+        const auto found = buckets_.find(account);
+        if (found == buckets_.end()) continue;
+        refill(now, found->second);
+        auto& peer = found->second.peers[report.vm.value];
+        const bool known = peer.incarnation == report.incarnation;
+        const bool continued = known && now - peer.updated <= stale_report;
+        const auto before = known ? peer.totals : account_usage{};
+        const auto span = std::max<std::int64_t>(1, (now - peer.updated).count);
+        if (continued) {
+            const double per_s = static_cast<double>(totals.asked - before.asked) * 1000.0 / static_cast<double>(span);
+            peer.asked_per_s += demand_smoothing * (per_s - peer.asked_per_s);
+        }
+        // What was admitted before contact began belongs to an earlier refill, and is not known in full.
+        if (continued) found->second.level -= static_cast<double>(totals.admitted - before.admitted);
+        peer.incarnation = report.incarnation;
+        peer.totals = totals;
+        peer.updated = now;
+    }
+}
+
+std::vector<std::pair<std::string, account_usage>> account_limiter::usage() const {
+    std::vector<std::pair<std::string, account_usage>> made;
+    for (const auto& [account, entry] : buckets_) {
+        if (entry.own.asked != 0) made.emplace_back(account, entry.own);
+    }
+    return made;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/endpoint_registry.cpp
@@ -0,0 +1,130 @@
+#include "coordination/endpoint_registry.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace lacewing {
+
+void recent_objects::add(std::uint64_t object) {
+    if (!known_.insert(object).second) {
+        const auto found = std::find(order_.begin(), order_.end(), object);
+        order_.erase(found);
+    }
+    order_.push_back(object);
+    if (order_.size() <= capacity) return;
+    known_.erase(order_.front());
+    order_.pop_front();
+}
+
+void recent_objects::clear() {
+    order_.clear();
+    known_.clear();
+}
+
+void endpoint_registry::detach(const endpoint_state& of) {
+    auto& list = by_service_[of.registration.service];
+    std::erase_if(list, [&of](const auto& item) { return item.get() == &of; });
+}
+
+void endpoint_registry::put(time_ms now, const endpoint_registration& registration) {
+    auto& entry = by_id_[registration.id.value];
+    if (entry != nullptr) {
+        if (registration.revision < entry->registration.revision) return;
+        const auto& known = entry->registration;
+        const bool restarted = known.born != registration.born || known.address != registration.address ||
+                               known.service != registration.service;
+        if (!restarted) {
+            entry->registration = registration;
+            entry->expires.reset();
+            if (registration.warmup_left > time_ms{0}) {
+                entry->cold_until = now + registration.warmup_left + cold_margin;
+            }
+            return;
+        }
+        detach(*entry);
+    }
+    entry = std::make_shared<endpoint_state>();
+    entry->registration = registration;
+    entry->hash = std::hash<std::string>{}(registration.id.value);
+    const auto region = zone_regions_.find(registration.zone.value);
+    entry->region = region == zone_regions_.end() ? "" : region->second;
+    entry->joined = now;
+    if (registration.warmup_left > time_ms{0}) {
+        entry->cold_until = now + registration.warmup_left + cold_margin;
+    }
+    by_service_[registration.service].push_back(entry);
+}
+
+void endpoint_registry::remove(time_ms now, const std::string& id, bool lapsed) {
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) return;
+    if (lapsed && !found->second->registration.draining) {
+        if (!found->second->expires) found->second->expires = now + lapse_grace;
+        return;
+    }
+    detach(*found->second);
+    by_id_.erase(found);
+}
+
+void endpoint_registry::replace_all(time_ms now, std::span<const endpoint_registration> all, bool lapsed) {
+    std::unordered_set<std::string> listed;
+    for (const auto& registration : all) {
+        listed.insert(registration.id.value);
+        put(now, registration);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, state] : by_id_) {
+        if (!listed.contains(id)) missing.push_back(id);
+    }
+    for (const auto& id : missing) remove(now, id, lapsed);
+}
+
+void endpoint_registry::expire(time_ms now) {
+    std::vector<std::string> ended;
+    for (const auto& [id, state] : by_id_) {
+        if (state->expires && now >= *state->expires) ended.push_back(id);
+    }
+    for (const auto& id : ended) remove(now, id, false);
+}
+
+void endpoint_registry::set_drained_zones(time_ms now, std::set<std::string> zones, time_ms warmup) {
+    for (const auto& [id, state] : by_id_) {
+        const auto& zone = state->registration.zone.value;
+        if (drained_zones_.contains(zone) && !zones.contains(zone)) {
+            state->cold_until = std::max(state->cold_until, now + warmup + cold_margin);
+        }
+    }
+    drained_zones_ = std::move(zones);
+}
+
+std::span<const std::shared_ptr<endpoint_state>>
+endpoint_registry::of_service(const std::string& service) const {
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end()) return {};
+    return found->second;
+}
+
+std::shared_ptr<endpoint_state> endpoint_registry::find(const std::string& id) const {
+    const auto found = by_id_.find(id);
+    return found == by_id_.end() ? nullptr : found->second;
+}
+
+void endpoint_registry::fill_in_flight(std::vector<std::pair<std::string, int>>& into) const {
+    for (const auto& [id, state] : by_id_) {
+        if (!state->in_flight.empty()) into.emplace_back(id, static_cast<int>(state->in_flight.size()));
+    }
+}
+
+void endpoint_registry::set_reported(const std::string& vm,
+                                     const std::vector<std::pair<std::string, int>>& in_flight) {
+    auto& known = reported_[vm];
+    for (const auto& [id, count] : known) {
+        if (const auto state = find(id)) state->reported_elsewhere = std::max(0, state->reported_elsewhere - count);
+    }
+    known = in_flight;
+    for (const auto& [id, count] : known) {
+        if (const auto state = find(id)) state->reported_elsewhere += count;
+    }
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/endpoint_selector.cpp
@@ -0,0 +1,278 @@
+#include "coordination/endpoint_selector.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace lacewing {
+
+namespace {
+
+// Ways there and back before the first connect has measured them.
+constexpr double same_zone_ms = 1;
+constexpr double same_region_ms = 4;
+constexpr double other_region_ms = 60;
+// Bytes between regions and zones are billed; expressed as time, so that a far endpoint must be that much
+// faster. A 60 KB scan to another region costs about half of what its answer is worth.
+constexpr double region_ms_per_kb = 2.0;
+constexpr double zone_ms_per_kb = 0.5;
+// A load report of an endpoint is newer than the reports of the VMs for this long.
+constexpr time_ms load_report_valid{200};
+// Halving times of what was learnt from answers, so that a recovered endpoint is tried again.
+constexpr double failures_half_life_ms = 2500;
+constexpr double slowness_half_life_ms = 6000;
+constexpr double sample_weight = 0.3;
+// Chance that an endpoint knows an object that this VM has not sent there itself, by its rank for the object
+// within its region.
+constexpr std::array<double, 3> rank_warm{0.6, 0.3, 0.1};
+constexpr double sent_warm = 0.95;
+// An endpoint that joined less than this ago knows nothing.
+constexpr time_ms young{4000};
+// Connects that fail in a row before an endpoint is left alone, and for how long.
+constexpr int failures_to_suspend = 3;
+constexpr time_ms first_suspension{250};
+constexpr time_ms longest_suspension{3000};
+// Part of the tolerated rate that the owner of a cold endpoint uses; two owners by mistake stay below it.
+constexpr double cold_rate_part = 0.8;
+// Requests waiting at an endpoint, per slot, beyond which a request is not sent there.
+constexpr double waiting_per_slot = 1.0;
+// The answer must be expected within this part of the time that is left.
+constexpr double safe_part = 0.95;
+constexpr time_ms shortest_retry{50};
+// Answers after which the measured service times are relied on.
+constexpr std::uint64_t least_samples = 8;
+constexpr double times_weight = 0.05;
+
+std::string times_key(const endpoint_request& request) {
+    return request.route->name.value + '/' + std::string(request.service);
+}
+
+} // namespace
+
+endpoint_selector::endpoint_selector(endpoint_registry& registry, std::string zone, std::string region,
+                                     std::uint64_t seed)
+    : registry_(registry), zone_(std::move(zone)), region_(std::move(region)), random_(seed) {}
+
+double endpoint_selector::way(const endpoint_state& endpoint) const {
+    const auto& zone = endpoint.registration.zone.value;
+    const auto found = ways_.find(zone);
+    if (found != ways_.end()) return found->second;
+    if (zone == zone_) return same_zone_ms;
+    return endpoint.region == region_ ? same_region_ms : other_region_ms;
+}
+
+void endpoint_selector::on_connect(const endpoint_state& endpoint, time_ms duration) {
+    auto& known = ways_[endpoint.registration.zone.value];
+    const auto measured = std::max(0.5, static_cast<double>(duration.count));
+    known = known == 0 ? measured : std::min(measured, known + 0.1 * (measured - known));
+}
+
+// Service times of a route; those of the whole service, or the goal, stand in for what has not been measured.
+endpoint_selector::service_times endpoint_selector::times_of(const endpoint_request& request) const {
+    const auto goal = static_cast<double>(request.route->goal.count);
+    service_times known{goal * 1.3, goal * 0.5, goal * 0.7, 0};
+    const auto take = [&known](const service_times& measured) {
+        if (measured.cold > 0) known.cold = measured.cold;
+        if (measured.warm > 0) known.warm = measured.warm;
+        if (measured.mean > 0) known.mean = measured.mean;
+        known.samples += measured.samples;
+    };
+    const auto service = times_.find(request.service);
+    if (service != times_.end()) take(service->second);
+    const auto route = times_.find(times_key(request));
+    if (route != times_.end()) take(route->second);
+    known.warm = std::min(known.warm, known.cold);
+    return known;
+}
+
+double endpoint_selector::service_time(const endpoint_request& request, bool warm) const {
+    const auto times = times_of(request);
+    return warm ? times.warm : times.cold;
+}
+
+double endpoint_selector::load_of(time_ms now, const endpoint_state& endpoint) const {
+    const bool observed = now - endpoint.observed < load_report_valid;
+    const int elsewhere = observed ? endpoint.observed_elsewhere : endpoint.reported_elsewhere;
+    return static_cast<double>(endpoint.in_flight.size()) + elsewhere;
+}
+
+void endpoint_selector::decay(time_ms now, endpoint_state& endpoint) {
+    const auto passed = static_cast<double>((now - endpoint.failures_updated).count);
+    if (passed < 50) return;
+    endpoint.failures *= std::exp2(-passed / failures_half_life_ms);
+    endpoint.slowness = 1 + (endpoint.slowness - 1) * std::exp2(-passed / slowness_half_life_ms);
+    endpoint.failures_updated = now;
+}
+
+bool endpoint_selector::usable(time_ms now, const endpoint_state& endpoint, const endpoint_request& request,
+                               const backend_service* service) const {
+    const auto& registration = endpoint.registration;
+    if (registration.draining || endpoint.replaced || registry_.drained(endpoint)) return false;
+    if (!request.version.allows(registration.version)) return false;
+    if (request.regions != nullptr && !request.regions->allows(endpoint.region)) return false;
+    if (now < endpoint.suspended_until) return false;
+    // After failed connects a single request tries whether the endpoint is back.
+    if (endpoint.consecutive_failures >= failures_to_suspend && !endpoint.in_flight.empty()) return false;
+    if (request.tried != nullptr &&
+        std::find(request.tried->begin(), request.tried->end(), registration.id.value) != request.tried->end()) {
+        return false;
+    }
+    if (now >= endpoint.cold_until || service == nullptr || service->warmup_per_s <= 0) return true;
+    if (!owns_cold(registration.id.value)) return false;
+    const auto passed = static_cast<double>((now - endpoint.cold_updated).count) / 1000;
+    return endpoint.cold_tokens + passed * service->warmup_per_s * cold_rate_part >= 1;
+}
+
+endpoint_selector::scored endpoint_selector::score(time_ms now, const std::shared_ptr<endpoint_state>& endpoint,
+                                                   const endpoint_request& request, double likely_warm) const {
+    const auto times = times_of(request);
+    const auto slots = static_cast<double>(endpoint->registration.slots);
+    const double slowness = std::max(1.0, endpoint->slowness);
+    const double load = load_of(now, *endpoint);
+    const double known = request.object != 0 && endpoint->warm.has(request.object) ? sent_warm : likely_warm;
+    const double work = (times.cold + known * (times.warm - times.cold)) * slowness;
+    scored made{endpoint, 0, 0, 0, known};
+    if (load >= slots) made.wait = (load - slots + 1) / slots * times.mean * slowness;
+    // A request that has been out for much longer than expected shows that the endpoint hangs.
+    double overdue = 0;
+    for (const auto started : endpoint->in_flight) {
+        const auto age = static_cast<double>((now - started).count);
+        overdue = std::max(overdue, age - 2 * (work + made.wait));
+    }
+    made.expected = way(*endpoint) + made.wait + work + overdue;
+    const auto kilobytes = static_cast<double>(request.bytes) / 1024;
+    double price = 0;
+    if (endpoint->region != region_) price = kilobytes * region_ms_per_kb;
+    else if (endpoint->registration.zone.value != zone_) price = kilobytes * zone_ms_per_kb;
+    const auto goal = static_cast<double>(request.route->goal.count);
+    made.cost = made.expected + price + endpoint->failures * goal * 2 + load;
+    return made;
+}
+
+endpoint_choice endpoint_selector::choose(time_ms now, const endpoint_request& request,
+                                          const backend_service* service) {
+    struct ranked {
+        std::shared_ptr<endpoint_state> endpoint;
+        std::uint64_t weight;
+    };
+    std::vector<ranked> candidates;
+    for (const auto& endpoint : registry_.of_service(std::string(request.service))) {
+        decay(now, *endpoint);
+        if (!usable(now, *endpoint, request, service)) continue;
+        // A different mix for each object; splitmix64 spreads the bits.
+        std::uint64_t weight = endpoint->hash ^ (request.object != 0 ? request.object : random_());
+        weight = (weight ^ (weight >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        weight = (weight ^ (weight >> 27U)) * 0x94d049bb133111ebULL;
+        candidates.push_back({endpoint, weight ^ (weight >> 31U)});
+    }
+    endpoint_choice choice;
+    if (candidates.empty()) {
+        choice.none_usable = true;
+        choice.retry_after = time_ms{250};
+        return choice;
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.weight > b.weight; });
+    std::map<std::string_view, std::size_t> ranks;
+    std::optional<scored> best;
+    for (const auto& candidate : candidates) {
+        const auto rank = std::min(ranks[candidate.endpoint->region]++, rank_warm.size() - 1);
+        const bool is_young = now - candidate.endpoint->joined < young;
+        const double likely = request.object == 0 ? 0 : is_young ? 0 : rank_warm[rank];
+        auto made = score(now, candidate.endpoint, request, likely);
+        // An endpoint that never got a request is tried, so that it takes its part.
+        if (candidate.endpoint->sends == 0 && made.wait == 0) made.cost *= 0.8;
+        if (!best || made.cost < best->cost) best = made;
+    }
+    const auto slots = static_cast<double>(best->endpoint->registration.slots);
+    const auto left = static_cast<double>(request.left.count);
+    choice.expected = time_ms{static_cast<std::int64_t>(best->expected)};
+    choice.warm = best->warm >= sent_warm;
+    // Only measured service times justify a refusal; a guess would never be corrected.
+    const bool measured = times_of(request).samples >= least_samples;
+    const bool in_time = !measured || best->expected <= left * safe_part;
+    const bool room = load_of(now, *best->endpoint) < slots * (1 + waiting_per_slot);
+    if (in_time && room) {
+        choice.endpoint = best->endpoint;
+        return choice;
+    }
+    const auto wait = std::max(best->wait, best->expected - left);
+    choice.retry_after = std::max(shortest_retry, time_ms{static_cast<std::int64_t>(wait)});
+    return choice;
+}
+
+void endpoint_selector::on_send(time_ms now, endpoint_state& endpoint, std::uint64_t object,
+                                const backend_service* service) {
+    endpoint.in_flight.push_back(now);
+    ++endpoint.sends;
+    if (object != 0) endpoint.warm.add(object);
+    if (now < endpoint.cold_until && service != nullptr) {
+        const auto passed = static_cast<double>((now - endpoint.cold_updated).count) / 1000;
+        const double refilled = endpoint.cold_tokens + passed * service->warmup_per_s * cold_rate_part;
+        endpoint.cold_tokens = std::min(1.0, refilled) - 1;
+        endpoint.cold_updated = now;
+    }
+}
+
+void endpoint_selector::on_end(time_ms now, endpoint_state& endpoint, const endpoint_request& request,
+                               time_ms started, bool warm, attempt_end how, const backend_service* service) {
+    const auto found = std::find(endpoint.in_flight.begin(), endpoint.in_flight.end(), started);
+    if (found != endpoint.in_flight.end()) endpoint.in_flight.erase(found);
+    decay(now, endpoint);
+    if (how == attempt_end::abandoned) return;
+    const bool failed = how != attempt_end::answered;
+    const double badness = how == attempt_end::not_run ? 0.5 : failed ? 1.0 : 0.0;
+    endpoint.failures += sample_weight * (badness - endpoint.failures);
+    if (how == attempt_end::unreachable || how == attempt_end::broken) {
+        ++endpoint.consecutive_failures;
+        const bool ended = how == attempt_end::unreachable;
+        if (ended || endpoint.consecutive_failures >= failures_to_suspend) {
+            const int doublings = std::min(4, std::max(0, endpoint.consecutive_failures - 1));
+            endpoint.suspended_until = now + std::min(longest_suspension, first_suspension * (1 << doublings));
+            endpoint.warm.clear();
+        }
+        return;
+    }
+    if (endpoint.consecutive_failures >= failures_to_suspend && service != nullptr) {
+        // It was away, so it may have been restarted and be cold.
+        endpoint.cold_until = std::max(endpoint.cold_until, now + service->warmup);
+    }
+    endpoint.consecutive_failures = 0;
+    if (how != attempt_end::answered) return;
+    const auto taken = static_cast<double>((now - started).count) - way(endpoint);
+    const auto times = times_of(request);
+    const bool queued = load_of(now, endpoint) + 1 > endpoint.registration.slots;
+    if (queued || now < endpoint.cold_until) return;
+    const double expected = std::max(1.0, warm ? times.warm : times.cold);
+    if (warm || taken > expected) {
+        const double ratio = std::clamp(taken / expected, 0.5, 20.0);
+        endpoint.slowness += sample_weight * (ratio - endpoint.slowness);
+    }
+    // A slow endpoint says nothing about the work of the route.
+    if (endpoint.slowness > 2 && times.samples > 20) return;
+    learn(times_[times_key(request)], taken, warm);
+    learn(times_[std::string(request.service)], taken, warm);
+}
+
+void endpoint_selector::learn(service_times& of, double taken, bool warm) {
+    const auto move = [taken](double& time) { time = time == 0 ? taken : time + times_weight * (taken - time); };
+    move(warm ? of.warm : of.cold);
+    move(of.mean);
+    ++of.samples;
+}
+
+void endpoint_selector::on_load(time_ms now, endpoint_state& endpoint, std::string_view text) {
+    int running = 0;
+    int waiting = 0;
+    const auto* end = text.data() + text.size();
+    const auto first = std::from_chars(text.data(), end, running);
+    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != ',') return;
+    const auto second = std::from_chars(first.ptr + 1, end, waiting);
+    if (second.ec != std::errc{}) return;
+    // The answering request itself has left its slot when the report is written.
+    const int own = std::max(0, static_cast<int>(endpoint.in_flight.size()) - 1);
+    endpoint.observed_elsewhere = std::max(0, running + waiting - own);
+    endpoint.observed = now;
+}
+
+} // namespace lacewing
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,8 @@
 #include "daemon/control_thread.h"
 #include "daemon/operator_port.h"
 #include "daemon/serve_thread.h"
+#include "gateway/gateway.h"
+#include "state/gateway_settings.h"
 #include "state/settings.h"
 #include "transport/log.h"
 
@@ -14,6 +16,7 @@
 #include <malloc.h>
 #include <random>
 #include <sstream>
+#include <variant>
 
 namespace {
 
@@ -28,14 +31,29 @@
     return (std::uint64_t{entropy()} << 32U) | entropy();
 }
 
-lacewing::process_settings read_settings(const std::string& file) {
+/// The interface that a process serves follows from its settings.
+using any_settings = std::variant<lacewing::process_settings, lacewing::gateway_settings>;
+
+any_settings read_settings(const std::string& file) {
     std::ifstream in(file);
     if (!in) throw lacewing::config_error(file, 0, "", "the file cannot be read");
     std::ostringstream text;
     text << in.rdbuf();
+    if (lacewing::is_gateway_settings(text.str())) return lacewing::parse_gateway_settings(text.str(), file);
     return lacewing::parse_settings(text.str(), file);
 }
 
+// Serves on the users' platform until a graceful stop.
+void run(const lacewing::gateway_settings& settings, const std::string& file) {
+    lacewing::set_log_level(lacewing::log_level::debug);
+    lacewing::set_log_rate(settings.log_lines_per_s);
+    lacewing::gateway serving(settings, file, random_bits());
+    serving.run();
+    lacewing::flush_log();
+    // Coroutines that still wait refer to the gateway, so nothing is destroyed.
+    std::_Exit(0);
+}
+
 // Runs the threads until SIGTERM or SIGINT and a graceful stop.
 void run(const lacewing::process_settings& settings) {
     using namespace lacewing;
@@ -87,7 +105,15 @@
     CLI11_PARSE(app, argc, argv);
     mallopt(M_MMAP_THRESHOLD, mapped_from_bytes);
     try {
-        run(read_settings(settings_file));
+        std::visit(
+            [&](const auto& settings) {
+                if constexpr (std::is_same_v<std::decay_t<decltype(settings)>, lacewing::gateway_settings>) {
+                    run(settings, settings_file);
+                } else {
+                    run(settings);
+                }
+            },
+            read_settings(settings_file));
     } catch (const lacewing::config_error& problem) {
         std::cerr << problem.what() << '\n';
         return exit_bad_input;
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -125,7 +125,7 @@
                                                       const std::vector<std::uint32_t>& tried,
                                                       const std::optional<attempt_failure>& reported);
     asio::awaitable<std::optional<attempt_failure>> forward(exchange& current, endpoint_lease& lease);
-    asio::awaitable<std::unique_ptr<endpoint_connection>> open_endpoint(exchange& current,
+    asio::awaitable<std::shared_ptr<endpoint_connection>> open_endpoint(exchange& current,
                                                                         endpoint_lease& lease);
     asio::awaitable<std::optional<attempt_failure>> send_request(exchange& current, endpoint_connection& to);
     asio::awaitable<std::optional<attempt_failure>> await_answer(exchange& current, endpoint_lease& lease,
@@ -133,7 +133,7 @@
                                                                  std::optional<answer_parser>& answer);
     asio::awaitable<void> write_held_answer(http::response<http::buffer_body>& out);
     asio::awaitable<std::optional<attempt_failure>> pass_answer(exchange& current, endpoint_lease& lease,
-                                                                std::unique_ptr<endpoint_connection> from);
+                                                                std::shared_ptr<endpoint_connection> from);
     asio::awaitable<void> stream_answer(exchange& current, endpoint_connection& from, answer_parser& answer,
                                         http::response<http::buffer_body>& out, std::span<char> piece);
     asio::awaitable<void> write_error(exchange& current, error_kind kind, std::string_view detail);
@@ -356,7 +356,7 @@
 
 asio::awaitable<std::optional<attempt_failure>> caller_session::forward(exchange& current,
                                                                         endpoint_lease& lease) {
-    std::unique_ptr<endpoint_connection> connection;
+    std::shared_ptr<endpoint_connection> connection;
     std::optional<attempt_failure> failure;
     try {
         connection = co_await open_endpoint(current, lease);
@@ -380,7 +380,7 @@
 
 // An idle connection can be closed by the endpoint at the moment of reuse, which leaves the outcome unknown;
 // requests that may run only once therefore get a new connection.
-asio::awaitable<std::unique_ptr<endpoint_connection>> caller_session::open_endpoint(exchange& current,
+asio::awaitable<std::shared_ptr<endpoint_connection>> caller_session::open_endpoint(exchange& current,
                                                                                     endpoint_lease& lease) {
     constexpr time_ms connect_limit{1'000};
     if (!current.identity.route->once) {
@@ -521,7 +521,7 @@
 // Passes the answer on. Up to the first byte to the caller a failure is still reported as an error answer.
 asio::awaitable<std::optional<attempt_failure>>
 caller_session::pass_answer(exchange& current, endpoint_lease& lease,
-                            std::unique_ptr<endpoint_connection> from) {
+                            std::shared_ptr<endpoint_connection> from) {
     // The deadline limits waiting and not the upload, whose length depends on the caller's own line.
     const auto answer_by =
         current.streamed ? monotonic_now() + time_ms{current.deadline_ms} : current.deadline;
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,464 @@
+#include "gateway/gateway.h"
+
+#include "platform/dialect.h"
+#include "platform/object_codec.h"
+#include "protocol/caller_http.h"
+#include "protocol/report_codec.h"
+#include "state/configuration.h"
+#include "transport/log.h"
+#include "transport/monotonic_clock.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Deadlines are checked this often; an answer that is due may be this late.
+constexpr time_ms tick_interval{50};
+constexpr time_ms report_interval{250};
+constexpr time_ms slow_interval{1000};
+// Lifetime of a lookup answer: long enough to spare calls, short enough to leave a dead VM soon.
+constexpr time_ms lookup_lifetime{2000};
+// This VM's own watch usually brings a change within this time; then another VM is asked.
+constexpr time_ms behind_limit{200};
+constexpr time_ms store_write_timeout{1000};
+// Parts of a graceful stop: callers learn from lookups that the VM leaves, then idle connections are closed,
+// then new requests are refused, and the rest of the grace belongs to requests in flight.
+constexpr time_ms stop_idle_after{2500};
+constexpr time_ms stop_refuse_after{3300};
+constexpr time_ms stop_margin{400};
+// VMs named in one lookup answer.
+constexpr std::size_t most_named = 64;
+// Part of the descriptors that callers may use; the rest is for endpoints, peers and the store.
+constexpr double caller_descriptors = 0.5;
+
+std::vector<std::string> mirrored_kinds() {
+    return {std::string(platform::configuration_kind), std::string(platform::endpoint_kind),
+            std::string(platform::move_kind), std::string(platform::drain_kind), std::string(platform::vm_kind)};
+}
+
+vm_report self_report(const gateway_settings& settings, std::uint64_t seed) {
+    vm_report made;
+    made.vm = settings.vm;
+    made.zone = settings.zone;
+    made.region = settings.region;
+    made.incarnation = incarnation_id{seed};
+    made.peer_address = settings.peer_listen;
+    made.caller_address = settings.caller_listen;
+    return made;
+}
+
+asio::awaitable<void> sleep(asio::io_context& context, time_ms span) {
+    asio::steady_timer timer(context, std::chrono::milliseconds(span.count));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+http_limits internal_limits() {
+    http_limits made;
+    made.idle_timeout = time_ms{15'000};
+    return made;
+}
+
+} // namespace
+
+gateway::gateway(const gateway_settings& settings, std::string file, std::uint64_t seed)
+    : settings_(settings), file_(std::move(file)), bounds_(platform::decode_bounds(settings.bound_texts)),
+      random_(seed), fleet_(self_report(settings, seed)), registry_(settings.zone_regions),
+      selector_(registry_, settings.zone.value, settings.region.value, seed), limiter_(settings.fleet_start),
+      repeats_(bounds_.repeat_ratio, bounds_.repeat_slack), pool_(context_.get_executor()),
+      flow_(times_, pool_, platform::dialect, registry_, selector_, limiter_, repeats_, moves_, seed),
+      store_(context_.get_executor(), settings.store),
+      mirror_(context_, store_, mirrored_kinds(), seed, [this](const mirror_change& change) { apply(change); }),
+      callers_(
+          context_, times_,
+          [this] { return flow_.routes() != nullptr ? flow_.routes()->configuration().bounds : caller_bounds{}; },
+          [this](caller_request& request, answer_sink sink) { return flow_.handle(request, std::move(sink)); }),
+      started_(monotonic_now()) {
+    selector_.owns_cold = [this](const std::string& id) { return fleet_.owns(id, monotonic_now()); };
+    // The slack of the repeat budget must not be divided by too few while the fleet is being discovered.
+    repeats_.set_fleet(settings.zone_regions.size() * 2);
+    peers_ = std::make_unique<peer_exchange>(
+        context_, settings.peer_listen, [this](const vm_report& report) { on_report(report); },
+        [this](const std::string& kind) {
+            const auto kinds = mirrored_kinds();
+            return std::find(kinds.begin(), kinds.end(), kind) != kinds.end() ? mirror_.snapshot(kind) : "{}";
+        });
+    callers_.listen(settings.caller_listen,
+                    static_cast<std::size_t>(static_cast<double>(settings.descriptors) * caller_descriptors));
+    const auto executor = context_.get_executor();
+    ready_server_ = std::make_unique<http_server>(executor, settings.ready_listen, internal_limits(),
+                                                  [this](http_request request) { return readiness(std::move(request)); });
+    if (!settings.lookup_listen.empty()) {
+        lookup_server_ = std::make_unique<http_server>(executor, settings.lookup_listen, internal_limits(),
+                                                       [this](http_request request) { return lookup(std::move(request)); });
+    }
+    if (!settings.metrics_listen.empty()) {
+        metrics_server_ = std::make_unique<http_server>(
+            executor, settings.metrics_listen, internal_limits(), [this](http_request) -> asio::awaitable<http_response> {
+                co_return make_response(200, metrics(), "text/plain; version=0.0.4");
+            });
+    }
+}
+
+void gateway::run() {
+    log(log_level::info, "started",
+        {{"vm", settings_.vm.value}, {"zone", settings_.zone.value}, {"callers", settings_.caller_listen},
+         {"store", settings_.store}, {"version", LACEWING_VERSION}});
+    mirror_.start();
+    asio::co_spawn(context_, tick(), asio::detached);
+    asio::co_spawn(context_, slow_tick(), asio::detached);
+    asio::co_spawn(context_, register_vm(), asio::detached);
+    asio::signal_set signals(context_, SIGTERM, SIGINT, SIGHUP);
+    std::function<void(const boost::system::error_code&, int)> on_signal =
+        [&](const boost::system::error_code& failure, int number) {
+            if (failure) return;
+            if (number == SIGHUP) reload();
+            else if (!leaving_) asio::co_spawn(context_, stop(), asio::detached);
+            signals.async_wait(on_signal);
+        };
+    signals.async_wait(on_signal);
+    context_.run();
+    log(log_level::info, "stopped", {{"vm", settings_.vm.value}, {"requests", flow_.counters().requests}});
+}
+
+bool gateway::ready() const {
+    return !leaving_ && flow_.routes() != nullptr && mirror_.known(std::string(platform::endpoint_kind));
+}
+
+// Takes over changed objects of one kind.
+void gateway::apply(const mirror_change& change) {
+    try {
+        if (change.kind == platform::configuration_kind) apply_configuration();
+        if (change.kind == platform::endpoint_kind) apply_endpoints(change);
+        if (change.kind == platform::move_kind) apply_moves();
+        if (change.kind == platform::drain_kind) apply_drains();
+        if (change.kind == platform::vm_kind) apply_registrations();
+    } catch (const Json::Exception& problem) {
+        log(log_level::error, "object_rejected", {{"kind", change.kind}, {"reason", problem.what()}});
+    }
+}
+
+// Puts a newer configuration into force; an older or unreadable one is left out.
+void gateway::apply_configuration() {
+    const auto& objects = mirror_.objects(std::string(platform::configuration_kind));
+    const auto found = objects.find(std::string(platform::configuration_name));
+    if (found == objects.end()) return;
+    try {
+        auto made = platform::decode_configuration(found->second["spec"]);
+        const auto& current = flow_.routes();
+        if (current != nullptr && made.version <= current->configuration().version) return;
+        limiter_.configure(monotonic_now(), made.accounts);
+        const auto version = made.version;
+        flow_.set_routes(std::make_shared<route_table>(std::make_shared<service_configuration>(std::move(made))));
+        log(log_level::info, "configuration_applied",
+            {{"version", version}, {"revision", found->second["metadata"]["revision"].asUInt64()}});
+    } catch (const config_error& problem) {
+        log(log_level::error, "configuration_rejected", {{"field", problem.field()}, {"reason", problem.reason()}});
+    }
+}
+
+void gateway::apply_endpoints(const mirror_change& change) {
+    const auto now = monotonic_now();
+    const auto& objects = mirror_.objects(change.kind);
+    for (const auto& id : change.removed) {
+        registry_.remove(now, id, change.after_outage);
+        log(log_level::info, "endpoint_removed", {{"endpoint", id}, {"after_outage", change.after_outage}});
+    }
+    for (const auto& id : change.changed) {
+        try {
+            const auto made = platform::decode_endpoint(objects.at(id));
+            registry_.put(now, made);
+            log(log_level::info, "endpoint_registered",
+                {{"endpoint", id}, {"service", made.service}, {"zone", made.zone.value}, {"version", made.version},
+                 {"draining", made.draining}, {"warmup_ms", made.warmup_left.count}, {"revision", made.revision}});
+        } catch (const config_error& problem) {
+            registry_.remove(now, id, false);
+            log(log_level::warn, "endpoint_rejected",
+                {{"endpoint", id}, {"field", problem.field()}, {"reason", problem.reason()}});
+        }
+    }
+}
+
+void gateway::apply_moves() {
+    std::vector<version_move_order> orders;
+    for (const auto& [name, object] : mirror_.objects(std::string(platform::move_kind))) {
+        try {
+            orders.push_back(platform::decode_move(object));
+        } catch (const config_error& problem) {
+            log(log_level::warn, "move_rejected", {{"service", name}, {"field", problem.field()}, {"reason", problem.reason()}});
+        }
+    }
+    moves_.set_orders(monotonic_now(), orders);
+}
+
+void gateway::apply_drains() {
+    std::set<std::string> zones;
+    for (const auto& [zone, object] : mirror_.objects(std::string(platform::drain_kind))) {
+        if (!object["metadata"]["deleting"].asBool()) zones.insert(zone);
+    }
+    time_ms warmup{3000};
+    if (flow_.routes() != nullptr) {
+        for (const auto& [name, service] : flow_.routes()->configuration().services) warmup = std::max(warmup, service.warmup);
+    }
+    std::string listed;
+    for (const auto& zone : zones) listed += (listed.empty() ? "" : ",") + zone;
+    log(log_level::info, "zones_drained", {{"zones", listed}});
+    registry_.set_drained_zones(monotonic_now(), std::move(zones), warmup);
+}
+
+void gateway::apply_registrations() {
+    const auto now = monotonic_now();
+    for (const auto& [name, object] : mirror_.objects(std::string(platform::vm_kind))) {
+        const auto& spec = object["spec"];
+        vm_report made;
+        made.vm = {name};
+        made.zone = {spec["zone"].asString()};
+        made.region = {spec["region"].asString()};
+        made.peer_address = spec["peer"].asString();
+        made.caller_address = spec["caller"].asString();
+        fleet_.on_registration(now, made);
+        if (made.vm != settings_.vm && registered_.insert(made.peer_address).second) send_report(made.peer_address);
+    }
+}
+
+// Makes this VM known through the store, so that the others find it.
+asio::awaitable<void> gateway::register_vm() {
+    Json::Value spec;
+    spec["zone"] = settings_.zone.value;
+    spec["region"] = settings_.region.value;
+    spec["peer"] = settings_.peer_listen;
+    spec["caller"] = settings_.caller_listen;
+    const std::string kind(platform::vm_kind);
+    for (;;) {
+        auto result = co_await store_.create(kind, settings_.vm.value, spec, store_write_timeout);
+        if (std::holds_alternative<platform::write_conflict>(result)) {
+            result = co_await store_.replace(kind, settings_.vm.value, spec, store_write_timeout);
+        }
+        if (std::holds_alternative<platform::write_done>(result)) co_return;
+        co_await sleep(context_, slow_interval);
+    }
+}
+
+void gateway::on_report(const vm_report& report) {
+    const auto now = monotonic_now();
+    if (fleet_.on_report(now, report)) {
+        log(log_level::info, "vm_seen", {{"vm", report.vm.value}, {"zone", report.zone.value}});
+        send_report(report.peer_address);
+    }
+    limiter_.on_report(now, report);
+    moves_.on_report(now, report);
+    registry_.set_reported(report.vm.value, report.in_flight);
+    catch_up(report);
+}
+
+// Fetches what another VM knows and this VM's own watch has not brought within a short time.
+void gateway::catch_up(const vm_report& report) {
+    const auto now = monotonic_now();
+    for (const auto& [kind, revision] : report.revisions) {
+        if (revision <= mirror_.complete_to(kind)) {
+            behind_since_.erase(kind);
+            continue;
+        }
+        const auto since = behind_since_.try_emplace(kind, now).first->second;
+        if (now - since < behind_limit || fetching_.contains(kind)) continue;
+        fetching_.insert(kind);
+        asio::co_spawn(context_, fetch(report.peer_address, kind), asio::detached);
+    }
+}
+
+asio::awaitable<void> gateway::fetch(std::string address, std::string kind) {
+    const auto text = co_await peers_->fetch(address, kind);
+    fetching_.erase(kind);
+    behind_since_.erase(kind);
+    if (text.empty()) co_return;
+    try {
+        if (mirror_.apply_snapshot(kind, text)) {
+            log(log_level::info, "snapshot_applied", {{"kind", kind}, {"from", address}, {"revision", mirror_.complete_to(kind)}});
+        }
+    } catch (const std::exception& problem) {
+        log(log_level::warn, "snapshot_rejected", {{"kind", kind}, {"from", address}, {"reason", problem.what()}});
+    }
+}
+
+vm_report gateway::make_report() const {
+    auto made = fleet_.self();
+    made.ready = ready();
+    made.leaving = leaving_;
+    made.store_reached = mirror_.reached(monotonic_now());
+    if (flow_.routes() != nullptr) made.configuration_version = flow_.routes()->configuration().version;
+    made.revisions = mirror_.changes();
+    registry_.fill_in_flight(made.in_flight);
+    made.usage = limiter_.usage();
+    moves_.fill(made);
+    return made;
+}
+
+void gateway::send_report(const std::string& address) {
+    peers_->send(address, encode_report(make_report()));
+}
+
+void gateway::send_reports() {
+    const auto text = encode_report(make_report());
+    std::set<std::string> sent{settings_.peer_listen};
+    for (const auto& [name, member] : fleet_.members()) {
+        if (sent.insert(member.report.peer_address).second) peers_->send(member.report.peer_address, text);
+    }
+    // Seeds are asked until the store or a report has named the fleet.
+    if (fleet_.members().size() > settings_.seeds.size()) return;
+    for (const auto& seed : settings_.seeds) {
+        if (sent.insert(seed).second) peers_->send(seed, text);
+    }
+}
+
+asio::awaitable<void> gateway::tick() {
+    time_ms next_report{0};
+    for (;;) {
+        co_await sleep(context_, tick_interval);
+        const auto now = monotonic_now();
+        times_.tick(now);
+        registry_.expire(now);
+        if (now < next_report) continue;
+        next_report = now + report_interval;
+        const auto writes = moves_.advance(now, [&](const std::string& service) {
+            return fleet_.owns_writes(service, now, mirror_.reached(now));
+        });
+        for (const auto& write : writes) asio::co_spawn(context_, write_move(write), asio::detached);
+        send_reports();
+    }
+}
+
+// Housekeeping about once a second.
+asio::awaitable<void> gateway::slow_tick() {
+    for (;;) {
+        co_await sleep(context_, slow_interval);
+        const auto now = monotonic_now();
+        fleet_.forget_silent(now);
+        pool_.close_expired(now);
+        const auto known = fleet_.known_count();
+        limiter_.set_fleet(known, fleet_.alive_count(now), fleet_.in_majority(now));
+        if (known > 1) repeats_.set_fleet(known);
+        for (const auto& [name, member] : fleet_.members()) {
+            if (!fleet_view::alive(member, now)) registry_.set_reported(name, {});
+        }
+        if (flow_.routes() == nullptr) continue;
+        std::vector<std::string> services;
+        for (const auto& [name, service] : flow_.routes()->configuration().services) services.push_back(name);
+        moves_.observe_versions(registry_, services);
+    }
+}
+
+asio::awaitable<void> gateway::write_move(move_write write) {
+    const auto status = platform::encode_move_status(write.order);
+    log(log_level::info, "move_declared",
+        {{"service", write.order.service}, {"version", write.order.target_version},
+         {"state", status["state"].asString()}, {"reason", write.reason}, {"revision", write.order.revision}});
+    const auto result = co_await store_.put_status(std::string(platform::move_kind), write.order.service, status,
+                                                   write.order.revision, store_write_timeout);
+    if (const auto* problem = std::get_if<platform::call_failed>(&result)) {
+        log(log_level::warn, "move_write_failed", {{"service", write.order.service}, {"reason", problem->reason}});
+    }
+}
+
+// Addresses of ready VMs in the caller's region, or of all when there are none.
+asio::awaitable<http_response> gateway::lookup(http_request request) {
+    const std::string target(request.target());
+    if (!target.starts_with(platform::dialect.lookup_path)) co_return make_response(404, "{}");
+    const auto now = monotonic_now();
+    const auto region = query_value(target, "region").value_or(settings_.region.value);
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const auto add = [&](const vm_report& report) {
+        (report.region.value == region ? near : far).push_back(report.caller_address);
+    };
+    if (ready()) add(fleet_.self());
+    for (const auto& [name, member] : fleet_.members()) {
+        if (fleet_view::alive(member, now) && member.report.ready) add(member.report);
+    }
+    auto& named = near.empty() ? far : near;
+    if (named.empty()) co_return make_response(503, "{}");
+    if (named.size() > most_named) named.resize(most_named);
+    co_return make_response(200, platform::encode_lookup(named, std::min(lookup_lifetime, bounds_.lookup_lifetime)));
+}
+
+asio::awaitable<http_response> gateway::readiness(http_request request) {
+    if (request.target() != platform::dialect.ready_path) co_return make_response(404, "{}");
+    co_return make_response(ready() ? 200 : 503, "{}");
+}
+
+// Ends the process within the grace: tells the others, lets callers move on, finishes what has begun.
+asio::awaitable<void> gateway::stop() {
+    const auto begun = monotonic_now();
+    leaving_ = true;
+    log(log_level::info, "stopping", {{"busy", callers_.busy()}, {"connections", callers_.connections()}});
+    callers_.begin_stop();
+    send_reports();
+    co_await sleep(context_, std::min(stop_idle_after, bounds_.stop_grace / 2));
+    callers_.close_idle();
+    co_await sleep(context_, std::min(stop_refuse_after, bounds_.stop_grace / 2) - std::min(stop_idle_after, bounds_.stop_grace / 2));
+    flow_.refuse_all();
+    const auto end = begun + bounds_.stop_grace - stop_margin;
+    while (callers_.busy() > 0 && monotonic_now() < end) {
+        co_await sleep(context_, tick_interval);
+        callers_.close_idle();
+    }
+    callers_.stop_accepting();
+    callers_.close_idle();
+    log(log_level::info, "stop_finished", {{"busy", callers_.busy()}});
+    context_.stop();
+}
+
+// Reads the settings again; a bad file keeps the last good ones.
+void gateway::reload() {
+    std::ifstream in(file_);
+    std::ostringstream text;
+    text << in.rdbuf();
+    try {
+        if (!in) throw config_error(file_, 0, "", "the file cannot be read");
+        const auto made = parse_gateway_settings(text.str(), file_);
+        bounds_ = platform::decode_bounds(made.bound_texts);
+        settings_.seeds = made.seeds;
+        log(log_level::info, "reloaded", {{"file", file_}});
+    } catch (const config_error& problem) {
+        log(log_level::error, "reload_rejected", {{"reason", problem.what()}});
+    }
+}
+
+std::string gateway::metrics() const {
+    const auto& counted = flow_.counters();
+    std::string out;
+    const auto add = [&out](std::string_view name, auto value) { out += fmt::format("{} {}\n", name, value); };
+    add("lacewing_requests_total", counted.requests);
+    add("lacewing_answered_total", counted.answered);
+    add("lacewing_endpoint_failures_total", counted.failed_by_endpoint);
+    add("lacewing_repeats_total", counted.repeats);
+    add("lacewing_callers_left_total", counted.callers_left);
+    for (const auto& row : all_error_answers()) {
+        const auto count = counted.refused[static_cast<std::size_t>(row.kind)];
+        if (count != 0) out += fmt::format("lacewing_refused_total{{kind=\"{}\"}} {}\n", row.name, count);
+    }
+    std::uint64_t cumulative = 0;
+    for (std::size_t i = 0; i < counted.latency.size(); ++i) {
+        cumulative += counted.latency[i];
+        const auto bound = i < flow_counters::bounds.size() ? std::to_string(flow_counters::bounds[i]) : "+Inf";
+        out += fmt::format("lacewing_request_ms_bucket{{le=\"{}\"}} {}\n", bound, cumulative);
+    }
+    add("lacewing_request_ms_sum", counted.latency_sum_ms);
+    add("lacewing_request_ms_count", cumulative);
+    add("lacewing_store_calls_total", store_.calls());
+    add("lacewing_peer_bytes_sent_total", peers_->bytes_sent());
+    add("lacewing_endpoints", registry_.size());
+    add("lacewing_vms_alive", fleet_.alive_count(monotonic_now()));
+    add("lacewing_caller_connections", callers_.connections());
+    if (flow_.routes() != nullptr) add("lacewing_configuration_version", flow_.routes()->configuration().version);
+    return out;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "coordination/account_limiter.h"
+#include "coordination/endpoint_registry.h"
+#include "coordination/endpoint_selector.h"
+#include "coordination/fleet_view.h"
+#include "coordination/repeat_budget.h"
+#include "coordination/version_mover.h"
+#include "gateway/caller_server.h"
+#include "gateway/deadlines.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/request_flow.h"
+#include "gateway/store_mirror.h"
+#include "platform/object_store.h"
+#include "state/gateway_settings.h"
+#include "transport/endpoint_pool.h"
+#include "transport/http_server.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/// @brief An entry VM on the users' platform. One thread runs everything: at a fifth of a core, handing
+/// requests between threads costs more than it gains. The log has a thread of its own.
+class gateway {
+public:
+    /// @param settings Settings of the process.
+    /// @param file Settings file that is read again on reload.
+    /// @param seed Seeds all random choices.
+    /// @throws boost::system::system_error when an address cannot be bound.
+    gateway(const gateway_settings& settings, std::string file, std::uint64_t seed);
+
+    /// @brief Serves until SIGTERM and a graceful stop.
+    void run();
+
+private:
+    void apply(const mirror_change& change);
+    void apply_configuration();
+    void apply_endpoints(const mirror_change& change);
+    void apply_moves();
+    void apply_drains();
+    void apply_registrations();
+    void on_report(const vm_report& report);
+    vm_report make_report() const;
+    void send_report(const std::string& address);
+    void send_reports();
+    void catch_up(const vm_report& report);
+    boost::asio::awaitable<void> fetch(std::string address, std::string kind);
+    boost::asio::awaitable<void> register_vm();
+    boost::asio::awaitable<void> write_move(move_write write);
+    boost::asio::awaitable<void> tick();
+    boost::asio::awaitable<void> slow_tick();
+    boost::asio::awaitable<void> stop();
+    boost::asio::awaitable<http_response> lookup(http_request request);
+    boost::asio::awaitable<http_response> readiness(http_request request);
+    [[nodiscard]] std::string metrics() const;
+    [[nodiscard]] bool ready() const;
+    void reload();
+
+    gateway_settings settings_;
+    std::string file_;
+    service_bounds bounds_;
+    boost::asio::io_context context_;
+    deadlines times_;
+    std::mt19937_64 random_;
+    fleet_view fleet_;
+    endpoint_registry registry_;
+    endpoint_selector selector_;
+    account_limiter limiter_;
+    repeat_budget repeats_;
+    version_mover moves_;
+    endpoint_pool pool_;
+    request_flow flow_;
+    platform::object_store store_;
+    store_mirror mirror_;
+    caller_server callers_;
+    std::unique_ptr<peer_exchange> peers_;
+    std::unique_ptr<http_server> ready_server_;
+    std::unique_ptr<http_server> lookup_server_;
+    std::unique_ptr<http_server> metrics_server_;
+    // Kinds that another VM knows better, since when, and fetches under way.
+    std::map<std::string, time_ms> behind_since_;
+    std::set<std::string> fetching_;
+    std::set<std::string> registered_;
+    time_ms started_{0};
+    bool leaving_ = false;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/gateway/peer_exchange.cpp
@@ -0,0 +1,74 @@
+#include "gateway/peer_exchange.h"
+
+#include "protocol/report_codec.h"
+#include "state/error_kind.h"
+#include "transport/http_client.h"
+#include "transport/ip_address.h"
+#include "transport/log.h"
+
+namespace lacewing {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr std::string_view snapshot_path = "/snapshot/";
+// A peer in another region answers within about 120 ms.
+constexpr time_ms fetch_timeout{800};
+
+udp::endpoint datagram_address(const std::string& text) {
+    const auto parsed = parse_ip_address(text);
+    return {parsed.address(), parsed.port()};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::io_context& context, const std::string& address, report_handler on_report,
+                             snapshot_source snapshots)
+    : context_(context), socket_(context, datagram_address(address)), on_report_(std::move(on_report)) {
+    socket_.non_blocking(true);
+    const auto answer = [source = std::move(snapshots)](http_request request) -> asio::awaitable<http_response> {
+        const std::string target(request.target());
+        if (!target.starts_with(snapshot_path)) co_return make_response(404, "{}");
+        co_return make_response(200, source(target.substr(snapshot_path.size())));
+    };
+    server_ = std::make_unique<http_server>(context.get_executor(), address, http_limits{}, answer);
+    asio::co_spawn(context_, receive(), asio::detached);
+}
+
+asio::awaitable<void> peer_exchange::receive() {
+    udp::endpoint from;
+    for (;;) {
+        boost::system::error_code failure;
+        const auto count = co_await socket_.async_receive_from(
+            asio::buffer(buffer_), from, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted) co_return;
+        // A refused datagram of an ended peer is reported by the next receive; it concerns no message.
+        if (failure) continue;
+        try {
+            on_report_(decode_report({buffer_.data(), count}));
+        } catch (const error& problem) {
+            log(log_level::warn, "peer_message_rejected", {{"reason", problem.what()}});
+        }
+    }
+}
+
+void peer_exchange::send(const std::string& address, std::string_view text) {
+    boost::system::error_code failure;
+    socket_.send_to(asio::buffer(text.data(), text.size()), datagram_address(address), 0, failure);
+    if (!failure) bytes_sent_ += text.size();
+}
+
+asio::awaitable<std::string> peer_exchange::fetch(std::string address, std::string kind) {
+    http_client client(context_.get_executor(), address);
+    try {
+        const auto answer = co_await client.request("GET", std::string(snapshot_path) + kind, {}, {}, fetch_timeout);
+        if (answer.result_int() == 200) co_return answer.body();
+    } catch (const http_error& problem) {
+        log(log_level::info, "peer_snapshot_failed", {{"peer", address}, {"kind", kind}, {"reason", problem.what()}});
+    }
+    co_return std::string();
+}
+
+} // namespace lacewing
--- a/src/transport/endpoint_pool.cpp
+++ b/src/transport/endpoint_pool.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Endpoints commonly close idle connections after 5 s or more; a shorter limit here makes it rare that both
-// sides act at the same moment.
-constexpr time_ms idle_limit{3000};
 constexpr std::size_t max_idle_per_endpoint = 32;
 
 // An idle connection that is readable was closed, or carries bytes of an answer that nobody waits for.
@@ -31,22 +28,27 @@
 
 } // namespace
 
-std::unique_ptr<endpoint_connection> endpoint_pool::take_idle(std::string_view address, time_ms now) {
+std::shared_ptr<endpoint_connection> endpoint_pool::take_idle(std::string_view address, time_ms now) {
     const auto found = idle_.find(std::string(address));
     if (found == idle_.end()) return nullptr;
     auto& waiting = found->second;
     while (!waiting.empty()) {
         auto connection = std::move(waiting.back());
         waiting.pop_back();
-        if (now - connection->idle_since < idle_limit && is_quiet(*connection)) return connection;
+        if (now - connection->idle_since < connection->idle_limit && is_quiet(*connection)) return connection;
     }
     return nullptr;
 }
 
-asio::awaitable<std::unique_ptr<endpoint_connection>> endpoint_pool::connect(std::string address,
+std::shared_ptr<endpoint_connection> endpoint_pool::create(std::string_view address) {
+    auto connection = std::make_shared<endpoint_connection>(executor_);
+    connection->address = std::string(address);
+    return connection;
+}
+
+asio::awaitable<std::shared_ptr<endpoint_connection>> endpoint_pool::connect(std::string address,
                                                                              time_ms timeout) {
-    auto connection = std::make_unique<endpoint_connection>(executor_);
-    connection->address = std::move(address);
+    auto connection = create(address);
     const auto target = parse_ip_address(connection->address);
     connection->stream.expires_after(std::chrono::milliseconds(timeout.count));
     boost::system::error_code failure;
@@ -59,7 +61,7 @@
     co_return connection;
 }
 
-void endpoint_pool::put_idle(std::unique_ptr<endpoint_connection> connection, time_ms now) {
+void endpoint_pool::put_idle(std::shared_ptr<endpoint_connection> connection, time_ms now) {
     if (connection->buffer.size() != 0) return;
     auto& waiting = idle_[connection->address];
     if (waiting.size() >= max_idle_per_endpoint) return;
@@ -70,8 +72,9 @@
 
 void endpoint_pool::close_expired(time_ms now) {
     for (auto& [address, waiting] : idle_) {
-        std::erase_if(waiting,
-                      [now](const auto& connection) { return now - connection->idle_since >= idle_limit; });
+        std::erase_if(waiting, [now](const auto& connection) {
+            return now - connection->idle_since >= connection->idle_limit;
+        });
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
--- a/src/transport/endpoint_pool.h
+++ b/src/transport/endpoint_pool.h
@@ -32,6 +32,8 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     time_ms idle_since;
+    /// Longest time for which the connection is kept; the endpoint may announce another one.
+    time_ms idle_limit{3000};
     /// Called when the connection ends; may be empty.
     std::function<void()> closed;
 };
@@ -43,16 +45,19 @@
 
     /// @brief An idle connection that the endpoint has neither closed nor written to, or null.
     /// @param address ip:port of the endpoint.
-    std::unique_ptr<endpoint_connection> take_idle(std::string_view address, time_ms now);
+    std::shared_ptr<endpoint_connection> take_idle(std::string_view address, time_ms now);
+
+    /// @brief A connection that has not been opened yet.
+    std::shared_ptr<endpoint_connection> create(std::string_view address);
 
     /// @brief Opens a connection.
     /// @param timeout Longest time to wait.
     /// @throws error with error_kind::endpoint_refused.
-    boost::asio::awaitable<std::unique_ptr<endpoint_connection>> connect(std::string address,
+    boost::asio::awaitable<std::shared_ptr<endpoint_connection>> connect(std::string address,
                                                                          time_ms timeout);
 
     /// @brief Keeps a connection for reuse. The caller has read one whole answer and nothing more.
-    void put_idle(std::unique_ptr<endpoint_connection> connection, time_ms now);
+    void put_idle(std::shared_ptr<endpoint_connection> connection, time_ms now);
 
     /// @brief Closes connections that were idle for too long.
     void close_expired(time_ms now);
@@ -60,7 +65,7 @@
     [[nodiscard]] std::size_t idle_count() const;
 
 private:
-    using connections = std::vector<std::unique_ptr<endpoint_connection>>;
+    using connections = std::vector<std::shared_ptr<endpoint_connection>>;
 
     boost::asio::any_io_executor executor_;
     std::unordered_map<std::string, connections> idle_;
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -24,9 +24,21 @@
 /// @brief Sets the lowest level that is written; the default is info.
 void set_log_level(log_level level);
 
-/// @brief Writes one line to standard error: time, level, event and fields as name=value.
+/// @brief Bounds the lines per second; further ones are counted and the count is logged. 0 for no bound.
+/// Warnings and errors may use the whole bound, information half of it.
+void set_log_rate(std::int64_t lines_per_s);
+
+/// @brief Writes what is still queued; called before the process ends.
+void flush_log();
+
+/// @brief Writes one line to standard output: time, level, event and fields as name=value.
 /// Values with spaces, quotes or control characters are quoted. The line is written with one call, so that
 /// lines of several threads do not mix.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+/// @brief Takes a line out of the budget, for callers that format their fields only when it is written.
+bool log_wanted(log_level level);
+/// @brief Writes a line for which log_wanted() was true.
+void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
 } // namespace lacewing
