Report the objects that were sent to endpoints

Cause: an endpoint handles an object that it has just handled in about a third of the time, and a VM knew only what it had sent itself. Reports repeated addresses and names four times a second, which was half of the bytes between regions.

Change: reports name the objects sent since the last one; endpoints and objects have 24-bit tags; addresses, revisions and usage far from a limit are sent in every fourth report.

--- a/src/coordination/account_limiter.cpp
+++ b/src/coordination/account_limiter.cpp
@@ -11,11 +11,13 @@
 constexpr time_ms demand_interval{250};
 constexpr double demand_smoothing = 0.4;
 // A peer whose report is older than this no longer counts in the division of the refill.
-constexpr time_ms stale_report{1500};
+constexpr time_ms stale_report{3000};
 // Every VM counts with a little demand, so that the first request of an account finds a share.
 constexpr double least_demand_per_s = 0.5;
 // The local part of the refill may be saved for this long, in seconds.
 constexpr double saved_refill_s = 0.5;
+// Part of the burst above which an account's usage is reported only now and then.
+constexpr double far_from_limit = 0.8;
 constexpr time_ms shortest_retry{100};
 constexpr time_ms longest_retry{2000};
 
@@ -131,9 +133,10 @@
     }
 }
 
-std::vector<std::pair<std::string, account_usage>> account_limiter::usage() const {
+std::vector<std::pair<std::string, account_usage>> account_limiter::usage(bool all) const {
     std::vector<std::pair<std::string, account_usage>> made;
     for (const auto& [account, entry] : buckets_) {
+        if (!all && entry.level >= entry.burst * far_from_limit) continue;
         if (entry.own.asked != 0) made.emplace_back(account, entry.own);
     }
     return made;
--- a/src/coordination/account_limiter.h
+++ b/src/coordination/account_limiter.h
@@ -46,7 +46,8 @@
     /// @param connected Whether it hears most of the fleet.
     void set_fleet(std::size_t known, std::size_t heard, bool connected);
     /// @brief Totals for the report of this VM.
-    [[nodiscard]] std::vector<std::pair<std::string, account_usage>> usage() const;
+    /// @param all Also of accounts that are far from their limit.
+    [[nodiscard]] std::vector<std::pair<std::string, account_usage>> usage(bool all) const;
 
 private:
     struct peer_usage {
--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -1,11 +1,10 @@
 #include "coordination/endpoint_registry.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace lacewing {
 
-void recent_objects::add(std::uint64_t object) {
+void recent_objects::add(std::uint32_t object) {
     if (!known_.insert(object).second) {
         const auto found = std::find(order_.begin(), order_.end(), object);
         order_.erase(found);
@@ -24,6 +23,8 @@
 void endpoint_registry::detach(const endpoint_state& of) {
     auto& list = by_service_[of.registration.service];
     std::erase_if(list, [&of](const auto& item) { return item.get() == &of; });
+    const auto tagged = by_tag_.find(of.tag);
+    if (tagged != by_tag_.end() && tagged->second.get() == &of) by_tag_.erase(tagged);
 }
 
 void endpoint_registry::put(time_ms now, const endpoint_registration& registration) {
@@ -45,7 +46,7 @@
     }
     entry = std::make_shared<endpoint_state>();
     entry->registration = registration;
-    entry->hash = std::hash<std::string>{}(registration.id.value);
+    entry->tag = tag_of(registration.id.value);
     const auto region = zone_regions_.find(registration.zone.value);
     entry->region = region == zone_regions_.end() ? "" : region->second;
     entry->joined = now;
@@ -53,6 +54,7 @@
         entry->cold_until = now + registration.warmup_left + cold_margin;
     }
     by_service_[registration.service].push_back(entry);
+    by_tag_[entry->tag] = entry;
 }
 
 void endpoint_registry::remove(time_ms now, const std::string& id, bool lapsed) {
@@ -109,21 +111,35 @@
     return found == by_id_.end() ? nullptr : found->second;
 }
 
-void endpoint_registry::fill_in_flight(std::vector<std::pair<std::string, int>>& into) const {
+void endpoint_registry::fill(vm_report& report) const {
     for (const auto& [id, state] : by_id_) {
-        if (!state->in_flight.empty()) into.emplace_back(id, static_cast<int>(state->in_flight.size()));
+        if (!state->in_flight.empty()) {
+            report.in_flight.emplace_back(state->tag, static_cast<int>(state->in_flight.size()));
+        }
+        if (!state->unreported.empty()) report.objects.emplace_back(state->tag, state->unreported);
     }
 }
 
-void endpoint_registry::set_reported(const std::string& vm,
-                                     const std::vector<std::pair<std::string, int>>& in_flight) {
+void endpoint_registry::clear_unreported() {
+    for (const auto& [id, state] : by_id_) state->unreported.clear();
+}
+
+void endpoint_registry::on_report(const std::string& vm, const vm_report& report) {
     auto& known = reported_[vm];
-    for (const auto& [id, count] : known) {
-        if (const auto state = find(id)) state->reported_elsewhere = std::max(0, state->reported_elsewhere - count);
+    for (const auto& [tag, count] : known) {
+        const auto found = by_tag_.find(tag);
+        if (found == by_tag_.end()) continue;
+        found->second->reported_elsewhere = std::max(0, found->second->reported_elsewhere - count);
+    }
+    known = report.in_flight;
+    for (const auto& [tag, count] : known) {
+        const auto found = by_tag_.find(tag);
+        if (found != by_tag_.end()) found->second->reported_elsewhere += count;
     }
-    known = in_flight;
-    for (const auto& [id, count] : known) {
-        if (const auto state = find(id)) state->reported_elsewhere += count;
+    for (const auto& [tag, objects] : report.objects) {
+        const auto found = by_tag_.find(tag);
+        if (found == by_tag_.end()) continue;
+        for (const auto object : objects) found->second->warm.add(object);
     }
 }
 
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
 
@@ -23,19 +24,21 @@
     /// Objects remembered; endpoints are known to keep 25 or more.
     static constexpr std::size_t capacity = 25;
 
-    void add(std::uint64_t object);
-    [[nodiscard]] bool has(std::uint64_t object) const { return known_.contains(object); }
+    void add(std::uint32_t object);
+    [[nodiscard]] bool has(std::uint32_t object) const { return known_.contains(object); }
     void clear();
 
 private:
-    std::deque<std::uint64_t> order_;
-    std::unordered_set<std::uint64_t> known_;
+    std::deque<std::uint32_t> order_;
+    std::unordered_set<std::uint32_t> known_;
 };
 
 /// @brief One endpoint process: its registration and what this VM has learnt about it.
 struct endpoint_state {
     endpoint_registration registration;
-    std::uint64_t hash = 0;
+    std::uint32_t tag = 0;
+    /// Objects sent since the last report of this VM.
+    std::vector<std::uint32_t> unreported;
     std::string region;
     time_ms joined{0};
     /// While now is before this, only few requests may be sent (see cold_pace).
@@ -101,10 +104,12 @@
     [[nodiscard]] std::shared_ptr<endpoint_state> find(const std::string& id) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
 
-    /// @brief Requests of this VM in flight, by endpoint id, for its report.
-    void fill_in_flight(std::vector<std::pair<std::string, int>>& into) const;
-    /// @brief Replaces the requests in flight that another VM reported.
-    void set_reported(const std::string& vm, const std::vector<std::pair<std::string, int>>& in_flight);
+    /// @brief Requests of this VM in flight and the objects that it has sent, for its report.
+    void fill(vm_report& report) const;
+    /// @brief Forgets the objects that have been reported.
+    void clear_unreported();
+    /// @brief Replaces the requests in flight that another VM reported, and adds the objects that it has sent.
+    void on_report(const std::string& vm, const vm_report& report);
 
 private:
     void detach(const endpoint_state& of);
@@ -112,7 +117,8 @@
     std::unordered_map<std::string, std::string> zone_regions_;
     std::unordered_map<std::string, std::shared_ptr<endpoint_state>> by_id_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<endpoint_state>>> by_service_;
-    std::map<std::string, std::vector<std::pair<std::string, int>>> reported_;
+    std::unordered_map<std::uint32_t, std::shared_ptr<endpoint_state>> by_tag_;
+    std::map<std::string, std::vector<std::pair<std::uint32_t, int>>> reported_;
     std::set<std::string> drained_zones_;
 };
 
--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -161,7 +161,8 @@
         decay(now, *endpoint);
         if (!usable(now, *endpoint, request, service)) continue;
         // A different mix for each object; splitmix64 spreads the bits.
-        std::uint64_t weight = endpoint->hash ^ (request.object != 0 ? request.object : random_());
+        const std::uint64_t subject = request.object != 0 ? request.object : random_();
+        std::uint64_t weight = endpoint->tag * 0x9e3779b97f4a7c15ULL + subject;
         weight = (weight ^ (weight >> 30U)) * 0xbf58476d1ce4e5b9ULL;
         weight = (weight ^ (weight >> 27U)) * 0x94d049bb133111ebULL;
         candidates.push_back({endpoint, weight ^ (weight >> 31U)});
@@ -201,11 +202,14 @@
     return choice;
 }
 
-void endpoint_selector::on_send(time_ms now, endpoint_state& endpoint, std::uint64_t object,
+void endpoint_selector::on_send(time_ms now, endpoint_state& endpoint, std::uint32_t object,
                                 const backend_service* service) {
     endpoint.in_flight.push_back(now);
     ++endpoint.sends;
-    if (object != 0) endpoint.warm.add(object);
+    if (object != 0) {
+        endpoint.warm.add(object);
+        endpoint.unreported.push_back(object);
+    }
     if (now < endpoint.cold_until && service != nullptr) {
         const auto passed = static_cast<double>((now - endpoint.cold_updated).count) / 1000;
         const double refilled = endpoint.cold_tokens + passed * service->warmup_per_s * cold_rate_part;
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -30,8 +30,8 @@
 struct endpoint_request {
     const host_route* route = nullptr;
     std::string_view service;
-    /// Hash of the route and the object that the request is about; 0 for none.
-    std::uint64_t object = 0;
+    /// Tag of the route and the object that the request is about; 0 for none.
+    std::uint32_t object = 0;
     version_choice version;
     const region_filter* regions = nullptr;
     /// Rank of the account or route; 0 is the most urgent.
@@ -92,7 +92,7 @@
     endpoint_choice choose(time_ms now, const endpoint_request& request, const backend_service* service);
 
     /// @brief Records the start of an attempt.
-    void on_send(time_ms now, endpoint_state& endpoint, std::uint64_t object, const backend_service* service);
+    void on_send(time_ms now, endpoint_state& endpoint, std::uint32_t object, const backend_service* service);
     /// @brief Records the end of an attempt that on_send() has started.
     void on_end(time_ms now, endpoint_state& endpoint, const endpoint_request& request, time_ms started,
                 bool warm, attempt_end how, const backend_service* service);
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -20,7 +20,14 @@
     auto& member = members_[report.vm.value];
     if (member.first_seen == time_ms{0}) member.first_seen = now;
     const bool unknown = !member.has_reported || member.report.incarnation != report.incarnation;
+    const auto known = std::move(member.report);
     member.report = report;
+    if (!report.has_identity) {
+        member.report.zone = known.zone;
+        member.report.region = known.region;
+        member.report.peer_address = known.peer_address;
+        member.report.caller_address = known.caller_address;
+    }
     member.heard = now;
     member.has_reported = true;
     member.refused = false;
--- /dev/null
+++ b/src/coordination/vm_report.cpp
@@ -0,0 +1,14 @@
+#include "coordination/vm_report.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace lacewing {
+
+std::uint32_t tag_of(std::string_view name) {
+    // 24 bits: seven or eight digits in a report, and few collisions among some hundred endpoints.
+    constexpr std::uint32_t mask = 0xffffff;
+    return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size())) & mask;
+}
+
+} // namespace lacewing
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,9 +30,11 @@
 /// a lost report is made up for by the next one.
 struct vm_report {
     vm_name vm;
+    incarnation_id incarnation;
+    /// Place and addresses; left out of most reports, because they never change within a process.
+    bool has_identity = true;
     zone_name zone;
     region_name region;
-    incarnation_id incarnation;
     std::string peer_address;
     std::string caller_address;
     /// The VM takes requests; false before it has a configuration and once it leaves.
@@ -42,16 +45,21 @@
     std::uint64_t configuration_version = 0;
     /// Store revision of the newest known change, by kind.
     std::map<std::string, std::uint64_t> revisions;
-    /// Requests in flight by endpoint id.
-    std::vector<std::pair<std::string, int>> in_flight;
+    /// Requests in flight by endpoint tag.
+    std::vector<std::pair<std::uint32_t, int>> in_flight;
+    /// Objects sent to endpoints since the last report, by endpoint tag. Not a total: a lost report only makes
+    /// an endpoint seem to know less than it does.
+    std::vector<std::pair<std::uint32_t, std::vector<std::uint32_t>>> objects;
     /// Requests by account.
     std::vector<std::pair<std::string, account_usage>> usage;
     /// Outcomes by "service/version/route" while a version move is under way.
     std::vector<std::pair<std::string, version_tally>> outcomes;
     /// Share of a service's requests that the target version of a move gets, set by the VM that drives it.
     std::vector<std::pair<std::string, double>> move_shares;
-    /// Requests forwarded by this process so far.
-    std::uint64_t forwarded = 0;
 };
 
+/// @brief Short name of an endpoint or object in reports. Two of them may share a tag; the load or the knowledge
+/// of one is then taken for the other's, which costs a less exact choice and nothing else.
+std::uint32_t tag_of(std::string_view name);
+
 } // namespace lacewing
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 // Deadlines are checked this often; an answer that is due may be this late.
 constexpr time_ms tick_interval{50};
 constexpr time_ms report_interval{250};
+// Every fourth report repeats what rarely changes.
+constexpr std::uint64_t whole_report_every = 4;
 constexpr time_ms slow_interval{1000};
 // Lifetime of a lookup answer: long enough to spare calls, short enough to leave a dead VM soon.
 constexpr time_ms lookup_lifetime{2000};
@@ -251,17 +253,19 @@
     const auto now = monotonic_now();
     if (fleet_.on_report(now, report)) {
         log(log_level::info, "vm_seen", {{"vm", report.vm.value}, {"zone", report.zone.value}});
-        send_report(report.peer_address);
+        if (report.has_identity) send_report(report.peer_address);
     }
     limiter_.on_report(now, report);
     moves_.on_report(now, report);
-    registry_.set_reported(report.vm.value, report.in_flight);
+    registry_.on_report(report.vm.value, report);
     catch_up(report);
 }
 
 // Fetches what another VM knows and this VM's own watch has not brought within a short time.
 void gateway::catch_up(const vm_report& report) {
     const auto now = monotonic_now();
+    const auto member = fleet_.members().find(report.vm.value);
+    if (member == fleet_.members().end() || member->second.report.peer_address.empty()) return;
     for (const auto& [kind, revision] : report.revisions) {
         if (revision <= mirror_.complete_to(kind)) {
             behind_since_.erase(kind);
@@ -270,7 +274,7 @@
         const auto since = behind_since_.try_emplace(kind, now).first->second;
         if (now - since < behind_limit || fetching_.contains(kind)) continue;
         fetching_.insert(kind);
-        asio::co_spawn(context_, fetch(report.peer_address, kind), asio::detached);
+        asio::co_spawn(context_, fetch(member->second.report.peer_address, kind), asio::detached);
     }
 }
 
@@ -288,28 +292,33 @@
     }
 }
 
-vm_report gateway::make_report() const {
+vm_report gateway::make_report(bool whole) const {
     auto made = fleet_.self();
+    made.has_identity = whole;
     made.ready = ready();
     made.leaving = leaving_;
     made.store_reached = mirror_.reached(monotonic_now());
     if (flow_.routes() != nullptr) made.configuration_version = flow_.routes()->configuration().version;
-    made.revisions = mirror_.changes();
-    registry_.fill_in_flight(made.in_flight);
-    made.usage = limiter_.usage();
+    if (whole || mirror_.changes() != reported_revisions_) made.revisions = mirror_.changes();
+    registry_.fill(made);
+    made.usage = limiter_.usage(whole);
     moves_.fill(made);
     return made;
 }
 
 void gateway::send_report(const std::string& address) {
-    peers_->send(address, encode_report(make_report()));
+    peers_->send(address, encode_report(make_report(true)));
 }
 
 void gateway::send_reports() {
-    const auto text = encode_report(make_report());
+    const bool whole = leaving_ || report_count_++ % whole_report_every == 0;
+    const auto text = encode_report(make_report(whole));
+    if (whole) reported_revisions_ = mirror_.changes();
+    registry_.clear_unreported();
     std::set<std::string> sent{settings_.peer_listen};
     for (const auto& [name, member] : fleet_.members()) {
-        if (sent.insert(member.report.peer_address).second) peers_->send(member.report.peer_address, text);
+        const auto& address = member.report.peer_address;
+        if (!address.empty() && sent.insert(address).second) peers_->send(address, text);
     }
     // Seeds are asked until the store or a report has named the fleet.
     if (fleet_.members().size() > settings_.seeds.size()) return;
@@ -346,7 +355,7 @@
         limiter_.set_fleet(known, fleet_.alive_count(now), fleet_.in_majority(now));
         if (known > 1) repeats_.set_fleet(known);
         for (const auto& [name, member] : fleet_.members()) {
-            if (!fleet_view::alive(member, now)) registry_.set_reported(name, {});
+            if (!fleet_view::alive(member, now)) registry_.on_report(name, {});
         }
         if (flow_.routes() == nullptr) continue;
         std::vector<std::string> services;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,7 +46,8 @@
     void apply_drains();
     void apply_registrations();
     void on_report(const vm_report& report);
-    vm_report make_report() const;
+    /// @param whole With what rarely changes.
+    [[nodiscard]] vm_report make_report(bool whole) const;
     void send_report(const std::string& address);
     void send_reports();
     void catch_up(const vm_report& report);
@@ -87,6 +88,8 @@
     std::map<std::string, time_ms> behind_since_;
     std::set<std::string> fetching_;
     std::set<std::string> registered_;
+    std::map<std::string, std::uint64_t> reported_revisions_;
+    std::uint64_t report_count_ = 0;
     time_ms started_{0};
     bool leaving_ = false;
 };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -116,8 +116,7 @@
     of.deadline = request.arrived + std::min(wait, of.route->timeout.value_or(wait));
     const auto object = cookie(request.fields, names_.affinity_cookie);
     if (of.route->affinity && !object.empty()) {
-        of.object = std::hash<std::string_view>{}(object) * 31 + std::hash<std::string>{}(of.route->name.value);
-        if (of.object == 0) of.object = 1;
+        of.object = std::max<std::uint32_t>(1, tag_of(of.route->name.value + '/' + std::string(object)));
     }
     of.bytes = expected_answer_bytes + static_cast<std::size_t>(request.length.value_or(request.body->size()));
 }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -66,7 +66,7 @@
         std::string attempt_id;
         time_ms deadline{0};
         int priority = 0;
-        std::uint64_t object = 0;
+        std::uint32_t object = 0;
         std::size_t bytes = 0;
         /// Time until the answer that the selector last expected.
         time_ms expected{0};
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -40,35 +40,59 @@
     return list;
 }
 
-template <class Pairs>
-Json::Value encode_pairs(const Pairs& pairs) {
+Json::Value encode_loads(const vm_report& report) {
+    // Flat list of tag, count, tag, count: half of the punctuation.
     Json::Value list(Json::arrayValue);
-    for (const auto& [key, value] : pairs) {
+    for (const auto& [tag, count] : report.in_flight) {
+        list.append(tag);
+        list.append(count);
+    }
+    return list;
+}
+
+Json::Value encode_objects(const vm_report& report) {
+    Json::Value list(Json::arrayValue);
+    for (const auto& [tag, objects] : report.objects) {
         Json::Value item(Json::arrayValue);
-        item.append(key);
-        item.append(value);
+        item.append(tag);
+        for (const auto object : objects) item.append(object);
         list.append(std::move(item));
     }
     return list;
 }
 
+void decode_loads(const Json::Value& params, vm_report& into) {
+    const auto& loads = params["load"];
+    for (Json::ArrayIndex i = 0; i + 1 < loads.size(); i += 2) {
+        into.in_flight.emplace_back(loads[i].asUInt(), loads[i + 1].asInt());
+    }
+    for (const auto& item : params["obj"]) {
+        std::vector<std::uint32_t> objects;
+        for (Json::ArrayIndex i = 1; i < item.size(); ++i) objects.push_back(item[i].asUInt());
+        into.objects.emplace_back(item[0].asUInt(), std::move(objects));
+    }
+}
+
 } // namespace
 
 std::string encode_report(const vm_report& report) {
     Json::Value params;
     params["vm"] = report.vm.value;
-    params["zone"] = report.zone.value;
-    params["region"] = report.region.value;
     params["inc"] = to_hex(report.incarnation);
-    params["peer"] = report.peer_address;
-    params["caller"] = report.caller_address;
+    if (report.has_identity) {
+        params["zone"] = report.zone.value;
+        params["region"] = report.region.value;
+        params["peer"] = report.peer_address;
+        params["caller"] = report.caller_address;
+    }
     params["state"] = (report.ready ? 1 : 0) + (report.leaving ? 2 : 0) + (report.store_reached ? 4 : 0);
     params["conf"] = Json::UInt64(report.configuration_version);
     for (const auto& [kind, revision] : report.revisions) params["rev"][kind] = Json::UInt64(revision);
-    if (!report.in_flight.empty()) params["load"] = encode_pairs(report.in_flight);
+    if (!report.in_flight.empty()) params["load"] = encode_loads(report);
+    if (!report.objects.empty()) params["obj"] = encode_objects(report);
     if (!report.usage.empty()) params["use"] = encode_usage(report);
     if (!report.outcomes.empty()) params["out"] = encode_outcomes(report);
-    if (!report.move_shares.empty()) params["move"] = encode_pairs(report.move_shares);
+    for (const auto& [service, share] : report.move_shares) params["move"][service] = share;
     return build_notification(method, params);
 }
 
@@ -84,6 +108,7 @@
         const auto& params = message["params"];
         vm_report made;
         made.vm = {params["vm"].asString()};
+        made.has_identity = params.isMember("peer");
         made.zone = {params["zone"].asString()};
         made.region = {params["region"].asString()};
         made.incarnation = incarnation_from_hex(params["inc"].asString());
@@ -96,7 +121,7 @@
         made.configuration_version = params["conf"].asUInt64();
         const auto& revisions = params["rev"];
         for (const auto& kind : revisions.getMemberNames()) made.revisions[kind] = revisions[kind].asUInt64();
-        for (const auto& item : params["load"]) made.in_flight.emplace_back(item[0].asString(), item[1].asInt());
+        decode_loads(params, made);
         for (const auto& item : params["use"]) {
             made.usage.emplace_back(item[0].asString(), account_usage{item[1].asInt64(), item[2].asInt64()});
         }
@@ -104,8 +129,9 @@
             made.outcomes.emplace_back(
                 item[0].asString(), version_tally{item[1].asUInt64(), item[2].asUInt64(), item[3].asUInt64()});
         }
-        for (const auto& item : params["move"]) {
-            made.move_shares.emplace_back(item[0].asString(), item[1].asDouble());
+        const auto& shares = params["move"];
+        for (const auto& service : shares.getMemberNames()) {
+            made.move_shares.emplace_back(service, shares[service].asDouble());
         }
         return made;
     } catch (const Json::Exception& problem) {
