Admit to a queue within the goal and report load ten times a second

VMs also chose the same endpoint together, because they learnt of each other's requests only after 250 ms.

Change: a request waits for a slot only if its answer is expected within its goal, counted from the caller's first try, unless the overload is short. The first try is known from the deadline that shrinks with each repeat. Retry-After leaves a second chance within the goal where there is one. Reports go out every 100 ms and repeat rare data every second.

--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -43,6 +43,9 @@
 // Answers after which the measured service times are relied on.
 constexpr std::uint64_t least_samples = 8;
 constexpr double times_weight = 0.05;
+// Smoothed share of a service's requests that cannot meet their goal, above which the overload is lasting.
+constexpr double lasting_pressure = 0.3;
+constexpr double pressure_weight = 0.05;
 
 std::string times_key(const endpoint_request& request) {
     return request.route->name.value + '/' + std::string(request.service);
@@ -192,16 +195,33 @@
     // Only measured service times justify a refusal; a guess would never be corrected.
     const bool measured = times_of(request).samples >= least_samples;
     const bool in_time = !measured || best->expected <= left * safe_part;
-    const bool room = load_of(now, *best->endpoint) < slots * (1 + waiting_per_slot);
+    // While requests miss the goal for long, waiting for a slot is worth it only if the answer still comes within
+    // the goal: a late answer is worth a fraction, and its turn would make the next one late too. A short peak
+    // is ridden out by waiting.
+    const double load = load_of(now, *best->endpoint);
+    const auto goal = static_cast<double>((request.route->goal - request.elapsed).count);
+    const bool within_goal = best->expected <= goal;
+    auto& pressure = pressure_[std::string(request.service)];
+    pressure += pressure_weight * ((within_goal ? 0.0 : 1.0) - pressure);
+    const bool may_wait = within_goal || pressure < lasting_pressure;
+    const bool room = load < slots || (may_wait && load < slots * (1 + waiting_per_slot));
     if (in_time && room) {
         choice.endpoint = best->endpoint;
         return choice;
     }
-    const auto wait = std::max(best->wait, best->expected - left);
-    choice.retry_after = std::max(shortest_retry, time_ms{static_cast<std::int64_t>(wait)});
+    choice.retry_after = retry_after(goal - (best->expected - best->wait), left);
     return choice;
 }
 
+// A caller that returns while its goal can still be met has a second chance; otherwise it should stay away long
+// enough for the load to change.
+time_ms endpoint_selector::retry_after(double spare, double left) {
+    const auto shortest = static_cast<double>(shortest_retry.count);
+    const double longest = spare > 2 * shortest ? spare : std::max(2 * shortest, left / 3);
+    std::uniform_real_distribution<double> span(spare > 2 * shortest ? shortest : longest / 2, longest);
+    return time_ms{static_cast<std::int64_t>(span(random_))};
+}
+
 void endpoint_selector::on_send(time_ms now, endpoint_state& endpoint, std::uint32_t object,
                                 const backend_service* service) {
     endpoint.in_flight.push_back(now);
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -38,7 +38,7 @@
     int priority = 0;
     /// Bytes that the request and its answer are expected to carry.
     std::size_t bytes = 0;
-    /// Time since the caller's request arrived.
+    /// Time since the caller first asked, over its own repeats.
     time_ms elapsed{0};
     /// Time until the final answer is due.
     time_ms left{0};
@@ -53,7 +53,7 @@
     time_ms expected{0};
     /// The endpoint is expected to know the object.
     bool warm = false;
-    /// No answer can be expected in time; when room is expected.
+    /// When the caller should return; for refusals.
     time_ms retry_after{0};
     /// No endpoint of the service is usable at all.
     bool none_usable = false;
@@ -126,6 +126,7 @@
     [[nodiscard]] service_times times_of(const endpoint_request& request) const;
     scored score(time_ms now, const std::shared_ptr<endpoint_state>& endpoint, const endpoint_request& request,
                  double likely_warm) const;
+    time_ms retry_after(double spare, double left);
     static void learn(service_times& of, double taken, bool warm);
     static void decay(time_ms now, endpoint_state& endpoint);
 
@@ -134,6 +135,7 @@
     std::string region_;
     std::mt19937_64 random_;
     std::map<std::string, service_times, std::less<>> times_;
+    std::unordered_map<std::string, double> pressure_;
     // Milliseconds there and back, by zone.
     std::unordered_map<std::string, double> ways_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,9 +22,9 @@
 
 // Deadlines are checked this often; an answer that is due may be this late.
 constexpr time_ms tick_interval{50};
-constexpr time_ms report_interval{250};
-// Every fourth report repeats what rarely changes.
-constexpr std::uint64_t whole_report_every = 4;
+constexpr time_ms report_interval{100};
+// Every tenth report repeats what rarely changes.
+constexpr std::uint64_t whole_report_every = 10;
 constexpr time_ms slow_interval{1000};
 // Lifetime of a lookup answer: long enough to spare calls, short enough to leave a dead VM soon.
 constexpr time_ms lookup_lifetime{2000};
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -24,6 +24,8 @@
 // Time that a caller waits if it does not say.
 constexpr time_ms default_deadline{10'000};
 constexpr time_ms longest_deadline{600'000};
+// A longer deadline than this is not typical for a route and says nothing about other callers.
+constexpr time_ms longest_learnt_deadline{30'000};
 // Bytes of an answer before any has been seen; used only to price the way.
 constexpr std::size_t expected_answer_bytes = 3000;
 // A repeat needs at least this much time to be of use.
@@ -97,7 +99,7 @@
 }
 
 // Finds route and account, and how long the caller will wait.
-void request_flow::identify(journey& of) const {
+void request_flow::identify(journey& of) {
     const auto& request = *of.request;
     if (of.routes == nullptr) throw error(error_kind::not_configured, "no configuration is known yet");
     const auto target = split_target(request.target, view(request.fields[http::field::host]));
@@ -114,6 +116,7 @@
     }
     const auto wait = deadline_of(request.fields, names_.deadline);
     of.deadline = request.arrived + std::min(wait, of.route->timeout.value_or(wait));
+    note_deadline(of, wait);
     const auto object = cookie(request.fields, names_.affinity_cookie);
     if (of.route->affinity && !object.empty()) {
         of.object = std::max<std::uint32_t>(1, tag_of(of.route->name.value + '/' + std::string(object)));
@@ -121,6 +124,14 @@
     of.bytes = expected_answer_bytes + static_cast<std::size_t>(request.length.value_or(request.body->size()));
 }
 
+// A caller that tries again sends what is left of its deadline; the difference to the deadline of a first try
+// tells how long it has waited already.
+void request_flow::note_deadline(journey& of, time_ms wait) {
+    auto& full = full_deadlines_[of.route->name.value];
+    full = std::max(full, std::min(wait, longest_learnt_deadline));
+    of.first_asked = of.request->arrived - std::max(time_ms{0}, full - wait);
+}
+
 // Takes one request out of the account's allowance and chooses the service.
 void request_flow::admit(journey& of) {
     if (of.account != nullptr) {
@@ -146,7 +157,7 @@
     made.regions = &regions;
     made.priority = of.priority;
     made.bytes = of.bytes;
-    made.elapsed = now - of.request->arrived;
+    made.elapsed = now - of.first_asked;
     made.left = of.deadline - now;
     made.tried = &of.tried;
     return made;
@@ -337,9 +348,7 @@
     made.headers = "Content-Type: application/json\r\n";
     if (!of.attempt_id.empty()) made.headers += fmt::format("{}: {}\r\n", names_.attempt_id, of.attempt_id);
     if (why.retry_after > time_ms{0}) {
-        // Spread over twice the time, so that refused callers do not return together.
-        auto spread = std::uniform_int_distribution<std::int64_t>(why.retry_after.count, 2 * why.retry_after.count);
-        made.headers += fmt::format("Retry-After: {:.3f}\r\n", static_cast<double>(spread(random_)) / 1000);
+        made.headers += fmt::format("Retry-After: {:.3f}\r\n", static_cast<double>(why.retry_after.count) / 1000);
     }
     made.body = error_body(why.kind, why.detail);
     made.close = refusing_;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lacewing {
@@ -65,6 +66,8 @@
         std::string host;
         std::string attempt_id;
         time_ms deadline{0};
+        /// When the caller first asked, as far as its shrinking deadline tells.
+        time_ms first_asked{0};
         int priority = 0;
         std::uint32_t object = 0;
         std::size_t bytes = 0;
@@ -81,7 +84,8 @@
         time_ms retry_after{0};
     };
 
-    void identify(journey& of) const;
+    void identify(journey& of);
+    void note_deadline(journey& of, time_ms wait);
     void admit(journey& of);
     boost::asio::awaitable<caller_answer> forward(journey& of, const answer_sink& sink);
     boost::asio::awaitable<endpoint_result> attempt(journey& of, const std::shared_ptr<endpoint_state>& endpoint,
@@ -105,6 +109,8 @@
     split_chooser split_;
     std::mt19937_64 random_;
     std::shared_ptr<const route_table> routes_;
+    // Longest deadline that callers of a route have sent lately: that of a first try.
+    std::unordered_map<std::string, time_ms> full_deadlines_;
     flow_counters counters_;
     bool refusing_ = false;
 };
