Test the platform path with processes, and tell how late the thread is

After a restart of the whole fleet each VM took almost the whole rate of an account until it had heard the others twice. Requests that wait in a busy VM's sockets were timed from their reading.

--- a/src/coordination/account_limiter.cpp
+++ b/src/coordination/account_limiter.cpp
@@ -55,12 +55,14 @@
     double total = own;
     std::size_t counted = 1;
     for (const auto& [vm, peer] : of.peers) {
-        if (now - peer.updated > stale_report) continue;
+        if (!peer.measured || now - peer.updated > stale_report) continue;
         total += peer.asked_per_s + least_demand_per_s;
         ++counted;
     }
+    // VMs that have not reported usage yet may have as much demand as this one, such as after a common
+    // restart.
     const auto silent = heard_ > counted ? static_cast<double>(heard_ - counted) : 0.0;
-    return own / (total + silent * least_demand_per_s);
+    return own / (total + silent * own);
 }
 
 // Part of the nominal rate that the VMs that hear each other may give out.
@@ -129,8 +131,9 @@
         if (continued) {
             const double per_s =
                 static_cast<double>(totals.asked - before.asked) * 1000.0 / static_cast<double>(span);
-            peer.asked_per_s += demand_smoothing * (per_s - peer.asked_per_s);
+            peer.asked_per_s += (peer.measured ? demand_smoothing : 1.0) * (per_s - peer.asked_per_s);
         }
+        peer.measured = continued;
         // What was admitted before contact began belongs to an earlier refill, and is not known in full.
         if (continued) found->second.level -= static_cast<double>(totals.admitted - before.admitted);
         peer.incarnation = report.incarnation;
--- a/src/coordination/account_limiter.h
+++ b/src/coordination/account_limiter.h
@@ -56,6 +56,8 @@
         incarnation_id incarnation;
         account_usage totals;
         double asked_per_s = 0;
+        /// Two reports have been compared, so asked_per_s means something.
+        bool measured = false;
         time_ms updated{0};
     };
     struct bucket {
--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -133,8 +133,8 @@
 
 endpoint_selector::scored endpoint_selector::score(time_ms now,
                                                    const std::shared_ptr<endpoint_state>& endpoint,
-                                                   const endpoint_request& request) const {
-    const auto times = times_of(request);
+                                                   const endpoint_request& request,
+                                                   const service_times& times) const {
     const auto slots = static_cast<double>(endpoint->registration.slots);
     const double slowness = std::max(1.0, endpoint->slowness);
     const double load = load_of(now, *endpoint);
@@ -174,6 +174,7 @@
                                           const backend_service* service) {
     endpoint_choice choice;
     std::optional<scored> best;
+    const auto times = times_of(request);
     struct {
         double own = 0;
         double known = 0;
@@ -186,7 +187,7 @@
         total.own += static_cast<double>(endpoint->in_flight.size());
         total.known += load_of(now, *endpoint);
         total.slots += endpoint->registration.slots;
-        auto made = score(now, endpoint, request);
+        auto made = score(now, endpoint, request, times);
         made.full = load_of(now, *endpoint) >= endpoint->registration.slots * (1 + waiting_per_slot);
         made.cost += preference(*endpoint, subject);
         // An endpoint that never got a request is tried, so that it takes its part.
@@ -203,13 +204,13 @@
     choice.expected = time_ms{static_cast<std::int64_t>(best->expected)};
     choice.warm = best->warm >= sent_warm;
     // Only measured service times justify a refusal; a guess would never be corrected.
-    const bool measured = times_of(request).samples >= least_samples;
+    const bool measured = times.samples >= least_samples;
     const bool in_time = !measured || best->expected <= left * safe_part;
     // Each VM may always use its part of the places at slots and in queues; more only while the fleet's total
     // is well below. Without the parts, all VMs send to the same free slot before they hear of each other.
     const auto goal = static_cast<double>((request.route->goal - request.elapsed).count);
     const double spare = goal - (best->expected - best->wait);
-    const double mean = std::max(1.0, times_of(request).mean);
+    const double mean = std::max(1.0, times.mean);
     const double queue = std::clamp(queue_part * spare / mean, 0.0, waiting_per_slot);
     const double places = total.slots * (1 + queue);
     const bool my_part = total.own < places / static_cast<double>(fleet) || total.known < open_part * places;
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -127,7 +127,7 @@
     [[nodiscard]] double way(const endpoint_state& endpoint) const;
     [[nodiscard]] service_times times_of(const endpoint_request& request) const;
     scored score(time_ms now, const std::shared_ptr<endpoint_state>& endpoint,
-                 const endpoint_request& request) const;
+                 const endpoint_request& request, const service_times& times) const;
     static double preference(const endpoint_state& endpoint, std::uint64_t subject);
     time_ms retry_after(double spare, double left);
     static void learn(service_times& of, double taken, bool warm);
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -280,14 +280,14 @@
         if (!co_await of->wait_first(monotonic_now() + idle)) break;
         of->set_busy(true);
         caller_request request;
-        request.arrived = monotonic_now();
+        request.arrived = monotonic_now() - lag_;
         // Shared with the body source, which may outlive this request by one wake-up.
         const auto reading = std::make_shared<request_reading>();
         auto& parser = reading->parser;
         parser.header_limit(bounds.header_bytes);
         parser.body_limit(bounds.body_bytes);
         parser.eager(true);
-        const auto head_until = request.arrived + bounds.header_timeout;
+        const auto head_until = monotonic_now() + bounds.header_timeout;
         auto fed = feed(parser, of->buffer());
         // g++ 12 evaluates a co_await on the right of && in a loop condition even when the left is false.
         while (!fed.failure && !parser.is_header_done()) {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -72,6 +72,8 @@
     void close_idle();
     /// @brief Stops accepting.
     void stop_accepting();
+    /// @brief Tells how late the thread is; what is read now has waited in the socket for about that long.
+    void set_lag(time_ms lag) { lag_ = lag; }
     [[nodiscard]] std::size_t busy() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
@@ -91,6 +93,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::list<std::shared_ptr<connection>> connections_;
     std::size_t most_ = 0;
+    time_ms lag_{0};
     bool stopping_ = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t whole_report_every = 10;
 // VMs of other regions get every third report: bytes between regions are the dearest.
 constexpr std::uint64_t far_report_every = 3;
+// Timers are always late by a few milliseconds.
+constexpr time_ms least_lag{20};
 constexpr time_ms slow_interval{1000};
 // Lifetime of a lookup answer: long enough to spare calls, short enough to leave a dead VM soon.
 constexpr time_ms lookup_lifetime{2000};
@@ -367,9 +369,15 @@
 
 asio::awaitable<void> gateway::tick() {
     time_ms next_report{0};
+    time_ms lag{0};
     for (;;) {
+        const auto due = monotonic_now() + tick_interval;
         co_await sleep(context_, tick_interval);
         const auto now = monotonic_now();
+        // A tick that comes late shows how long other events wait. Half of the last value is kept, because a
+        // backlog is worked off in batches.
+        lag = std::max(now - due, lag / 2);
+        callers_.set_lag(lag > least_lag ? lag : time_ms{0});
         times_.tick(now);
         registry_.expire(now);
         selector_.fleet = fleet_.alive_count(now);
--- /dev/null
+++ b/tests/system/platform_stand_in.cpp
@@ -0,0 +1,255 @@
+#include "platform_stand_in.h"
+
+#include "platform/dialect.h"
+
+#include <fmt/format.h>
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+
+namespace lacewing::testing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int first_port = 23000;
+constexpr int ports_per_vm = 10;
+
+Json::Value parse(const std::string& text) {
+    Json::Value made;
+    Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    if (!reader->parse(text.data(), text.data() + text.size(), &made, nullptr)) {
+        throw std::runtime_error("malformed JSON in a test: " + text);
+    }
+    return made;
+}
+
+std::string print(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+asio::awaitable<void> pause(const asio::any_io_executor& executor, int ms) {
+    asio::steady_timer timer(executor, std::chrono::milliseconds(ms));
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace
+
+platform_stand_in::platform_stand_in(std::size_t vm_count)
+    : work_(asio::make_work_guard(context_)), vm_count_(vm_count) {
+    // A loopback address of its own for each test process and instance.
+    static std::atomic<int> instances{0};
+    host_ =
+        fmt::format("127.{}.{}.{}", 100 + ++instances % 100, ::getpid() / 250 % 250, ::getpid() % 250 + 1);
+    auto pattern = (std::filesystem::temp_directory_path() / "lacewing-platform-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
+    folder_ = pattern;
+    store_server_ = std::make_unique<http_server>(
+        context_.get_executor(), fmt::format("{}:{}", host_, first_port - 1), http_limits{},
+        [this](http_request request) { return store(std::move(request)); });
+    thread_ = std::thread([this] { context_.run(); });
+    vms_.resize(vm_count);
+    for (std::size_t i = 0; i < vm_count; ++i)
+        start_vm(i);
+}
+
+platform_stand_in::~platform_stand_in() {
+    vms_.clear();
+    context_.stop();
+    thread_.join();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string platform_stand_in::address(std::size_t vm, int part) const {
+    return fmt::format("{}:{}", host_, first_port + static_cast<int>(vm) * ports_per_vm + part);
+}
+
+void platform_stand_in::start_vm(std::size_t index) {
+    const auto file = folder_ / fmt::format("vm-{}.yaml", index);
+    std::ofstream out(file);
+    out << fmt::format("vm: vm-{}\nzone: {}\nregion: east\n", index, index % 2 == 0 ? "north" : "south")
+        << "zones:\n  - { zone: north, region: east }\n  - { zone: south, region: east }\n"
+        << fmt::format(
+               "caller_listen: \"{}\"\nready_listen: \"{}\"\nlookup_listen: \"{}\"\npeer_listen: \"{}\"\n",
+               address(index, 0), address(index, 1), address(index, 2), address(index, 3))
+        << fmt::format("platform_store: \"{}:{}\"\n", host_, first_port - 1)
+        << fmt::format("seeds: [\"{}\"]\nfleet_start: true\nbounds: [\"grace=6s\", \"drain=2s\"]\n",
+                       address(0, 3));
+    out.close();
+    vms_[index] = std::make_unique<child_process>(std::string(LACEWING_BINARY_DIR) + "/lacewingd",
+                                                  std::vector<std::string>{"--settings", file.string()},
+                                                  folder_ / fmt::format("vm-{}.log", index));
+}
+
+bool platform_stand_in::all_ready() {
+    return wait_until([this] {
+        for (std::size_t i = 0; i < vm_count_; ++i) {
+            try {
+                if (call(readiness(i), "GET", platform::dialect.ready_path).status != 200) return false;
+            } catch (const std::runtime_error&) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+std::string platform_stand_in::configuration(int version, const std::string& key, double rate) {
+    return fmt::format(
+        R"({{"version":"r{}","routes":[)"
+        R"({{"name":"read","hostname":"lacewingplank","pathPrefix":"/read/","routeType":"idempotent","timeout":"3s",)"
+        R"("targetLatency":"400ms","priority":1,"service":"s","maxAttempts":2,"sessionAffinity":true}},)"
+        R"({{"name":"pay","hostname":"lacewingplank","pathPrefix":"/pay/","routeType":"non_idempotent","timeout":"3s",)"
+        R"("targetLatency":"400ms","priority":1,"service":"s","maxAttempts":2}}],)"
+        R"("services":[{{"name":"s","healthPath":"/health","maxConnections":300,"warmup":"1s","warmupPerS":50}}],)"
+        R"("tenants":[{{"name":"ward","apiKeys":["{}"],"ratePerS":{},"burst":{}}}]}})",
+        version, key, rate, rate);
+}
+
+void platform_stand_in::put(const std::string& kind, const std::string& name, const std::string& spec) {
+    const std::lock_guard lock(mutex_);
+    auto& object = objects_[kind][name];
+    object["metadata"]["name"] = name;
+    object["metadata"]["revision"] = Json::UInt64(++revision_);
+    if (!object["metadata"].isMember("createdRev"))
+        object["metadata"]["createdRev"] = Json::UInt64(revision_);
+    object["spec"] = parse(spec);
+    history_[kind].push_back({revision_, object, false});
+}
+
+void platform_stand_in::erase(const std::string& kind, const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    auto object = objects_[kind][name];
+    objects_[kind].erase(name);
+    object["metadata"]["revision"] = Json::UInt64(++revision_);
+    history_[kind].push_back({revision_, object, true});
+}
+
+std::string platform_stand_in::move_state(const std::string& service) {
+    const std::lock_guard lock(mutex_);
+    const auto& status = objects_["rollouts"][service]["status"];
+    return status.isObject() ? status["state"].asString() : "";
+}
+
+http_response platform_stand_in::list(const std::string& kind) {
+    const std::lock_guard lock(mutex_);
+    Json::Value body;
+    body["items"] = Json::arrayValue;
+    for (const auto& [name, object] : objects_[kind])
+        body["items"].append(object);
+    body["hasMore"] = false;
+    body["asOf"] = Json::UInt64(revision_);
+    return make_response(200, print(body));
+}
+
+http_response platform_stand_in::events(const std::string& kind, std::uint64_t after) {
+    const std::lock_guard lock(mutex_);
+    Json::Value body;
+    body["events"] = Json::arrayValue;
+    for (const auto& entry : history_[kind]) {
+        if (entry.revision <= after) continue;
+        Json::Value event;
+        event["object"] = entry.object;
+        event["deleted"] = entry.deleted;
+        body["events"].append(event);
+    }
+    body["asOf"] = Json::UInt64(revision_);
+    return make_response(200, print(body));
+}
+
+asio::awaitable<http_response> platform_stand_in::store(http_request request) {
+    if (store_down) throw drop_connection();
+    const std::string target(request.target());
+    const std::string prefix = "/-/objects/";
+    const auto query = target.find('?');
+    const auto path = target.substr(prefix.size(), query - prefix.size());
+    const auto slash = path.find('/');
+    const auto kind = path.substr(0, slash);
+    if (request.method() == boost::beast::http::verb::get) {
+        const auto watch = target.find("watch=");
+        if (watch == std::string::npos) co_return list(kind);
+        const auto after = std::stoull(target.substr(watch + 6));
+        const auto wait = std::stoi(target.substr(target.find("waitMs=") + 7));
+        for (int waited = 0; waited < wait && !store_down; waited += 10) {
+            auto answer = events(kind, after);
+            if (answer.body().find("\"object\"") != std::string::npos) co_return answer;
+            co_await pause(context_.get_executor(), 10);
+        }
+        if (store_down) throw drop_connection();
+        co_return events(kind, after);
+    }
+    const auto body = parse(request.body());
+    if (request.method() == boost::beast::http::verb::post) {
+        const auto name = body["metadata"]["name"].asString();
+        {
+            const std::lock_guard lock(mutex_);
+            if (objects_[kind].contains(name)) co_return make_response(409, "{}");
+        }
+        put(kind, name, print(body["spec"]));
+        co_return make_response(200, "{}");
+    }
+    const auto name = path.substr(slash + 1, path.find('/', slash + 1) - slash - 1);
+    if (!path.ends_with("/status")) {
+        put(kind, name, print(body["spec"]));
+        co_return make_response(200, "{}");
+    }
+    const std::lock_guard lock(mutex_);
+    auto& object = objects_[kind][name];
+    if (object["metadata"]["revision"].asUInt64() != body["metadata"]["revision"].asUInt64()) {
+        co_return make_response(409, print(object));
+    }
+    object["status"] = body["status"];
+    object["metadata"]["revision"] = Json::UInt64(++revision_);
+    history_[kind].push_back({revision_, object, false});
+    co_return make_response(200, print(object));
+}
+
+void platform_stand_in::add_endpoint(const std::string& id, const std::string& service,
+                                     const std::string& version) {
+    std::promise<std::string> made;
+    asio::post(context_, [&] {
+        endpoints_.push_back(std::make_unique<http_server>(
+            context_.get_executor(), host_ + ":0", http_limits{},
+            [this, id, version](http_request request) { return endpoint(id, version, std::move(request)); }));
+        made.set_value(endpoints_.back()->address());
+    });
+    put("servers", id,
+        fmt::format(
+            R"({{"service":"{}","address":"{}","zone":"north","version":"{}","slots":8,"state":"ready",)"
+            R"("warmupLeft":"0ms","sequence":1,"born":1}})",
+            service, made.get_future().get(), version));
+}
+
+int platform_stand_in::executions(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return executions_[id];
+}
+
+asio::awaitable<http_response> platform_stand_in::endpoint(std::string id, std::string version,
+                                                           http_request request) {
+    const auto& names = platform::dialect;
+    if (request[names.expected_endpoint] != id) co_return make_response(421, "{}");
+    {
+        const std::lock_guard lock(mutex_);
+        ++executions_[id];
+    }
+    co_await pause(context_.get_executor(), service_ms);
+    auto answer = make_response(version == failing_version ? 500 : 200, "");
+    answer.body() = fmt::format(R"({{"endpoint":"{}","account":"{}","key":"{}","path":"{}","bytes":{}}})", id,
+                                std::string(request[names.account]), std::string(request[names.key]),
+                                std::string(request.target()), request.body().size());
+    answer.set(names.attempt_id, request[names.attempt_id]);
+    answer.set(names.load, "1,0,8");
+    co_return answer;
+}
+
+} // namespace lacewing::testing
