--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -352,7 +352,7 @@
     send_reports(report_audience::same_region, leaving_ || turn % whole_report_every == 0);
     if (!leaving_ && turn % far_report_every != 0) return;
     send_reports(report_audience::other_regions,
-                 leaving_ || turn % (whole_report_every * far_report_every) == 0);
+                 leaving_ || turn % (whole_far_report_every * far_report_every) == 0);
     // Seeds are asked until the store or a report has named the fleet.
     if (fleet_.members().size() > settings_.seeds.size()) return;
     for (const auto& seed : settings_.seeds) {
