--- a/tests/system/bad_input_test.cpp
+++ b/tests/system/bad_input_test.cpp
@@ -34,10 +34,11 @@
     const auto authorization = fmt::format("Authorization: Bearer {}\r\n", system.office_key());
     for (const std::string_view line :
          {"GET\r\n", "GET /r/balance/x\r\n", "GET /r/balance/x HTTP/9.9\r\n",
-          "\x01\x02\x03 /r/balance/x HTTP/1.1\r\n", "GET /r/balance/x HTTP/1.1\r\nNo colon here\r\n",
-          "GET /r/balance/x HTTP/1.1\r\nContent-Length: -4\r\n",
-          "GET /r/balance/x HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n",
-          "POST /r/balance/x HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
+          "\x01\x02\x03 /r/balance/x HTTP/1.1\r\n",
+          "GET /r/balance/x HTTP/1.1\r\nHost: a\r\nNo colon here\r\n",
+          "GET /r/balance/x HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n",
+          "GET /r/balance/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n",
+          "POST /r/balance/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
         INFO("first line: " << line);
         check_refused(exchange_raw(system.caller(1), fmt::format("{}{}\r\nabcd", line, authorization)), 400,
                       "bad_request");
@@ -95,13 +96,13 @@
     const auto before = system.executed();
     // The first VM accepts 1 MB.
     raw_connection declared(system.caller(0));
-    declared.send(fmt::format("POST /r/scans/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n"
+    declared.send(fmt::format("POST /r/scans/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\n"
                               "Content-Length: 1048577\r\n\r\n",
                               system.office_key()));
     check_refused(declared.receive(), 413, "body_too_large");
 
     raw_connection chunked(system.caller(0));
-    chunked.send(fmt::format("POST /r/scans/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n"
+    chunked.send(fmt::format("POST /r/scans/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\n"
                              "Transfer-Encoding: chunked\r\n\r\n",
                              system.office_key()));
     const auto chunk = fmt::format("{:x}\r\n{}\r\n", 16'384, std::string(16'384, 'b'));
--- a/tests/system/drain_and_upload_test.cpp
+++ b/tests/system/drain_and_upload_test.cpp
@@ -80,9 +80,10 @@
     // Resets the peak value VmHWM.
     std::ofstream(fmt::format("/proc/{}/clear_refs", system.vm(1).id())) << "5";
     raw_connection upload(system.caller(1));
-    REQUIRE(upload.send(fmt::format("POST /r/scans/large HTTP/1.1\r\nAuthorization: Bearer {}\r\n"
-                                    "X-Request-Id: large\r\nContent-Length: {}\r\n\r\n",
-                                    system.office_key(), total)));
+    REQUIRE(upload.send(
+        fmt::format("POST /r/scans/large HTTP/1.1\r\nHost: lacewingplank\r\nAuthorization: Bearer {}\r\n"
+                    "X-Request-Id: large\r\nContent-Length: {}\r\n\r\n",
+                    system.office_key(), total)));
     std::int64_t peak = 0;
     for (std::size_t sent = 0; sent < total; sent += piece.size()) {
         REQUIRE(upload.send(piece));
--- a/tests/system/graceful_stop_test.cpp
+++ b/tests/system/graceful_stop_test.cpp
@@ -17,8 +17,9 @@
 
     raw_connection upload(system.caller(1));
     const std::string half(body_bytes / 2, 'u');
-    auto head = fmt::format(
-        "POST /r/scans/upload HTTP/1.1\r\nAuthorization: {}\r\nContent-Length: {}\r\n\r\n", key, body_bytes);
+    auto head = fmt::format("POST /r/scans/upload HTTP/1.1\r\nHost: lacewingplank\r\nAuthorization: "
+                            "{}\r\nContent-Length: {}\r\n\r\n",
+                            key, body_bytes);
     REQUIRE(upload.send(head + half));
     // An answer that is still awaited when new requests are already refused.
     system.behave(R"({"service_ms":4000})", system.endpoint("balance", "north", 1));
