Remove members that nothing reads

Cause: the read-through found three members that are written and never read, and a loop in flush_log whose condition is always true.

Change: the members are gone; flush_log waits a named time, the same 20 ms. Behaviour is unchanged.

--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -61,7 +61,6 @@
 
     /// Ratio of measured to expected service time.
     double slowness = 1;
-    time_ms slowness_updated{0};
     /// Smoothed share of failed answers.
     double failures = 0;
     time_ms failures_updated{0};
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -81,7 +81,6 @@
         }
         made.order = current;
         if (current.state == phase::completed) settled_[order.service] = order.target_version;
-        if (current.state == phase::reverted) rejected_[order.service] = order.target_version;
         kept[order.service] = made;
     }
     moves_ = std::move(kept);
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -99,8 +99,6 @@
     std::map<std::string, move> moves_;
     // Version that serves a service by the last completed move, or by the first endpoints seen.
     std::map<std::string, std::string> settled_;
-    // Versions that a move has taken back.
-    std::map<std::string, std::string> rejected_;
     std::map<std::string, version_tally> own_;
     std::map<std::string, std::map<std::string, version_tally>> peers_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,8 +95,7 @@
           },
           [this](caller_request& request, answer_sink sink) {
               return flow_.handle(request, std::move(sink));
-          }),
-      started_(monotonic_now()) {
+          }) {
     selector_.owns_cold = [this](const std::string& id) { return fleet_.owns(id, monotonic_now()); };
     // The slack of the repeat budget must not be divided by too few while the fleet is being discovered.
     repeats_.set_fleet(settings.zone_regions.size() * 2);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,7 +91,6 @@
     std::set<std::string> registered_;
     time_ms revisions_changed_{0};
     std::uint64_t report_count_ = 0;
-    time_ms started_{0};
     bool leaving_ = false;
 };
 
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -59,6 +59,9 @@
 // Lines that may wait for the output; the oldest are dropped when it does not keep up.
 constexpr std::size_t queued_lines = 1024;
 
+// Time in which the writer empties its queue before the process ends.
+constexpr std::chrono::milliseconds flush_time{20};
+
 // Parts of the lines per second that a level may use, so that rare and bad news find room.
 constexpr double debug_part = 0.4;
 constexpr double info_part = 0.8;
@@ -140,10 +143,8 @@
 
 void flush_log() {
     writer().flush();
-    // The flush is queued behind the lines; an empty queue means that all of them have been taken.
-    for (int tries = 0; tries < 20 && writer().sinks().size() == 1; ++tries) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
+    // The flush is queued behind the lines and spdlog does not tell when it is done.
+    std::this_thread::sleep_for(flush_time);
 }
 
 bool log_wanted(log_level level) {
