Hold requests at the endpoint while the operator session drains it

Cause: the session printed the state of a drain that a VM could take up, and finish, between two commands; it failed once beside load. Change: requests in flight at the endpoint keep the drain running until the session cancels it, and the session waits until a VM has taken it up.

--- a/tests/system/golden_sessions_test.cpp
+++ b/tests/system/golden_sessions_test.cpp
@@ -51,6 +51,7 @@
         {R"(history/[0-9]+)", "history/N"},
         {R"( at [0-9]+ by)", " at TIME by"},
         {R"(after [0-9]+ ms)", "after N ms"},
+        {R"(taken up by vm-[0-9])", "taken up by VM"},
         {R"((alive|leaving|suspect|dead)( +)[0-9]+)", "$1$2N"},
         {R"(X-Load: [0-9.]+)", "X-Load: LOAD"},
         {R"((VM-[0-9]-[A-Z]+) +)", "$1 "},
@@ -253,7 +254,24 @@
     record({"keys", "give", "stranger"});
     record({"keys", "withdraw", "guest", "-"}, given.out.substr(0, given.out.find('\n') + 1));
     record({"keys", "withdraw", "guest", "lwk_unknown"});
+    // Requests in flight at the endpoint keep the drain running until it is cancelled, so that the output does
+    // not depend on how soon a VM takes it up.
+    system.behave(R"({"service_ms":30000})", system.endpoint("balance", "north", 1));
+    std::vector<raw_connection> held;
+    const header_list patient{{"Authorization", "Bearer " + system.office_key()}, {"X-Deadline-Ms", "60000"}};
+    for (int i = 0; i < 8; ++i) {
+        held.emplace_back(system.caller(0));
+        REQUIRE(held.back().send(request_text("GET", "/r/balance/x", patient)));
+    }
+    const auto in_flight = [&] {
+        const auto routes = system.dump(0)["serve"]["routes"];
+        return routes["balance"]["endpoints"]["balance-north-1"]["in_flight"].asInt() > 0;
+    };
+    REQUIRE(wait_until(in_flight));
     record({"drain", "start", "--endpoint", "balance-north-1", "--deadline", "60"});
+    REQUIRE(wait_until([&] {
+        return system.stored("drains/endpoint-balance-north-1")["value"]["state"] == "running";
+    }));
     record({"drain", "start", "--endpoint", "balance-north-1", "--deadline", "60"});
     record({"drain", "start", "--endpoint", "unknown"});
     record({"drain", "status"});
