--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -48,8 +48,9 @@
 // Part of the wait that the goal leaves room for which is planned as queue; the rest covers what a VM does
 // not know of the others.
 constexpr double queue_part = 0.7;
-// Part of all places below which any VM may use them.
+// Part of all places, or of the slots alone, below which any VM may use them.
 constexpr double open_part = 0.8;
+constexpr double open_slots_part = 0.95;
 
 std::string times_key(const endpoint_request& request) {
     return request.route->name.value + '/' + std::string(request.service);
@@ -214,7 +215,8 @@
     const double mean = std::max(1.0, times.mean);
     const double queue = std::clamp(queue_part * spare / mean, 0.0, waiting_per_slot);
     const double places = total.slots * (1 + queue);
-    const bool my_part = total.own < places / static_cast<double>(fleet) || total.known < open_part * places;
+    const double open = std::max(open_part * places, open_slots_part * total.slots);
+    const bool my_part = total.own < places / static_cast<double>(fleet) || total.known < open;
     const bool room = my_part && !best->full;
     if (in_time && room) {
         choice.endpoint = best->endpoint;
