Judge a slow version by the usual time of the old one, and count callers that left

Its answers took longer than callers wait; an attempt that ends because the caller left was not counted, and an answer counted as slow only at 3.5 times the time without knowledge of the object. Change: each VM learns the time that 19 of 20 answers of the old version keep below; 1.8 times that, without the expected wait for a slot, is slow, and so is a request whose caller left after 1.2 times that. Cold endpoints are left out. The request log names the object's tag.

--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -204,6 +204,7 @@
     }
     const auto left = static_cast<double>(request.left.count);
     choice.expected = time_ms{static_cast<std::int64_t>(best->expected)};
+    choice.wait = time_ms{static_cast<std::int64_t>(best->wait)};
     choice.warm = best->warm >= sent_warm;
     // Only measured service times justify a refusal; a guess would never be corrected.
     const bool measured = times.samples >= least_samples;
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -51,6 +51,8 @@
     std::shared_ptr<endpoint_state> endpoint;
     /// Expected time until the answer.
     time_ms expected{0};
+    /// Part of it that the request is expected to wait for a slot.
+    time_ms wait{0};
     /// The endpoint is expected to know the object.
     bool warm = false;
     /// When the caller should return; for refusals.
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -30,7 +30,17 @@
 constexpr std::uint64_t least_failures = 3;
 constexpr double failure_excess = 0.12;
 constexpr std::uint64_t least_slow = 5;
-constexpr double slow_excess = 0.35;
+constexpr double slow_excess = 0.25;
+// An answer is slow when it takes this many times what 19 of 20 answers of the old version need. A version
+// that is eight times as slow exceeds it even for objects that its endpoints know, which need about a third.
+constexpr double slow_factor = 1.8;
+// A request whose caller left took longer than the time that is known of it, so less shows that it was slow.
+constexpr double abandoned_factor = 1.2;
+constexpr double usual_quantile = 0.95;
+constexpr double quantile_step = 0.05;
+// Answers of the old version before its usual time is relied on; until then the longest counts. Fewer may all
+// be about objects that the endpoints know.
+constexpr std::uint64_t least_usual = 16;
 // The announcement of a driver that fell silent holds this long.
 constexpr time_ms announcement_valid{2000};
 // Longest time between two tries of a status write.
@@ -134,9 +144,28 @@
     return {stable, false};
 }
 
+// Learns from the answers of the old version what is usual; returns whether an answer is slow against that.
+bool version_mover::learn_or_judge(const std::string& route, bool of_target, double taken_ms) {
+    auto& usual = usual_times_[route];
+    const bool known = usual.samples >= least_usual;
+    const bool slow = known && taken_ms > usual.high_ms * slow_factor;
+    if (of_target) return slow;
+    ++usual.samples;
+    if (!known) {
+        usual.high_ms = std::max(usual.high_ms, taken_ms);
+    } else {
+        // Steps up and down in the relation of 1 - q to q settle at the quantile q.
+        const double step = quantile_step * usual.high_ms;
+        usual.high_ms += taken_ms > usual.high_ms ? step * usual_quantile : -step * (1 - usual_quantile);
+    }
+    return slow;
+}
+
 void version_mover::on_outcome(const std::string& service, const std::string& version,
-                               const std::string& route, bool failed, bool slow) {
+                               const std::string& route, bool failed, std::optional<double> taken_ms) {
     const auto found = moves_.find(service);
+    const bool of_target = found != moves_.end() && version == found->second.order.target_version;
+    const bool slow = taken_ms && learn_or_judge(route, of_target, *taken_ms);
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
     auto& tally = own_[tally_key(service, version, route)];
     ++tally.answered;
@@ -144,6 +173,18 @@
     if (slow) ++tally.slow;
 }
 
+void version_mover::on_abandoned(const std::string& service, const std::string& version,
+                                 const std::string& route, double waited_ms) {
+    const auto found = moves_.find(service);
+    if (found == moves_.end() || found->second.order.state == phase::completed) return;
+    const auto usual = usual_times_.find(route);
+    if (usual == usual_times_.end() || usual->second.samples < least_usual) return;
+    if (waited_ms <= usual->second.high_ms * abandoned_factor) return;
+    auto& tally = own_[tally_key(service, version, route)];
+    ++tally.answered;
+    ++tally.slow;
+}
+
 void version_mover::on_report(time_ms now, const vm_report& report) {
     auto& of_peer = peers_[report.vm.value + '/' + to_hex(report.incarnation)];
     for (const auto& [key, tally] : report.outcomes)
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -37,8 +37,14 @@
     /// @brief The version for the next request of a service.
     version_choice choose(time_ms now, const std::string& service);
     /// @brief Records the outcome of a request.
+    /// @param taken_ms Time until the answer without the expected wait for a slot; nothing when it says
+    /// little about the version, because the endpoint is cold.
     void on_outcome(const std::string& service, const std::string& version, const std::string& route,
-                    bool failed, bool slow);
+                    bool failed, std::optional<double> taken_ms);
+    /// @brief Records a request whose caller left before the answer; it counts when it had become slow
+    /// already.
+    void on_abandoned(const std::string& service, const std::string& version, const std::string& route,
+                      double waited_ms);
 
     /// @brief Advances the moves that this VM drives.
     /// @param drives Whether this VM drives the move of a service.
@@ -88,6 +94,12 @@
         std::map<std::string, evidence> before_stage;
         time_ms last_write{-10'000};
     };
+    /// Time that nearly all answers of a route keep below, learnt from the versions that are not moved to.
+    struct usual_time {
+        double high_ms = 0;
+        std::uint64_t samples = 0;
+    };
+    bool learn_or_judge(const std::string& route, bool of_target, double taken_ms);
     void take_over(time_ms now, move& of);
     void enter_stage(time_ms now, move& of, std::size_t stage);
     void step(time_ms now, move& of, std::vector<move_write>& writes);
@@ -100,6 +112,7 @@
     // Version that serves a service by the last completed move, or by the first endpoints seen.
     std::map<std::string, std::string> settled_;
     std::map<std::string, version_tally> own_;
+    std::map<std::string, usual_time> usual_times_;
     std::map<std::string, std::map<std::string, version_tally>> peers_;
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -30,8 +30,6 @@
 constexpr std::size_t expected_answer_bytes = 3000;
 // A repeat needs at least this much time to be of use.
 constexpr time_ms least_repeat_time{30};
-// An answer is slow when it takes this many times the usual service time without knowledge of the object.
-constexpr double slow_factor = 3.5;
 // A process that has no configuration yet expects one soon.
 constexpr time_ms configuration_wait{300};
 constexpr time_ms stop_retry{50};
@@ -283,18 +281,28 @@
     }
     const auto asked = request_of(of, now, regions, {});
     selector_.on_end(now, *endpoint, asked, started, choice.warm, result.how, of.service);
-    const bool timed_out = result.how == attempt_end::abandoned && !of.request->caller_left;
-    const bool judged = result.how == attempt_end::answered || result.how == attempt_end::failed ||
-                        result.how == attempt_end::broken || timed_out;
-    if (judged) {
-        const auto usual = selector_.service_time(asked, false);
-        const bool slow = static_cast<double>((now - started).count) > usual * slow_factor;
-        moves_.on_outcome(of.service_name, endpoint->registration.version, of.route->name.value,
-                          result.how != attempt_end::answered, slow);
-    }
+    judge_version(of, *endpoint, choice, result, now - started);
     co_return result;
 }
 
+// Counts the outcome for or against the endpoint's version.
+void request_flow::judge_version(const journey& of, const endpoint_state& endpoint,
+                                 const endpoint_choice& choice, const endpoint_result& result,
+                                 time_ms taken) {
+    const auto& version = endpoint.registration.version;
+    const auto& route = of.route->name.value;
+    // The wait for a slot and a cold endpoint say nothing about the version.
+    const bool cold = monotonic_now() < endpoint.cold_until;
+    const auto work_ms = static_cast<double>((taken - choice.wait).count);
+    if (result.how == attempt_end::abandoned && of.request->caller_left) {
+        if (!cold) moves_.on_abandoned(of.service_name, version, route, work_ms);
+        return;
+    }
+    if (result.how == attempt_end::not_run || result.how == attempt_end::unreachable) return;
+    moves_.on_outcome(of.service_name, version, route, result.how != attempt_end::answered,
+                      cold ? std::optional<double>() : work_ms);
+}
+
 attempt_message request_flow::message_for(const journey& of, const std::string& endpoint,
                                           time_ms left) const {
     const auto& request = *of.request;
@@ -392,6 +400,7 @@
                {"outcome", outcome},
                {"status", status},
                {"ms", taken.count},
+               {"object", of.object},
                {"warm", of.warm},
                {"expected_ms", of.expected.count},
                {"config", of.routes != nullptr ? of.routes->configuration().version : 0},
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -93,6 +93,8 @@
     boost::asio::awaitable<endpoint_result> attempt(journey& of,
                                                     const std::shared_ptr<endpoint_state>& endpoint,
                                                     const endpoint_choice& choice, const answer_sink& sink);
+    void judge_version(const journey& of, const endpoint_state& endpoint, const endpoint_choice& choice,
+                       const endpoint_result& result, time_ms taken);
     [[nodiscard]] endpoint_request request_of(const journey& of, time_ms now, const region_filter& regions,
                                               const version_choice& version) const;
     [[nodiscard]] attempt_message message_for(const journey& of, const std::string& endpoint,
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -79,7 +79,23 @@
             if (bad_answers == 50) fiftieth_bad = now;
         }
         if (asked.to_target) last_target = now;
-        mover.on_outcome("s", asked.to_target ? "v2" : "v1", asked.route, failed, false);
+        const auto* version = asked.to_target ? "v2" : "v1";
+        const auto taken = duration(asked);
+        if (taken > patience_ms) {
+            mover.on_abandoned("s", version, asked.route, patience_ms);
+        } else {
+            mover.on_outcome("s", version, asked.route, failed, taken);
+        }
+    }
+
+    // Endpoints of the old version know most objects, those of the new one few; waits are not always
+    // foreseen.
+    double duration(const request& asked) {
+        const bool knows = std::bernoulli_distribution(asked.to_target ? 0.2 : 0.7)(random);
+        const double work = std::normal_distribution<double>(600, 90)(random) * (knows ? 0.3 : 1.0);
+        const double wait = std::exponential_distribution<double>(1.0 / 60)(random);
+        const bool slow = asked.to_target && std::bernoulli_distribution(slow_share)(random);
+        return work * (slow ? slowness : 1) + wait;
     }
 
     void store(phase state) {
@@ -98,6 +114,11 @@
     version_move_order order;
     std::size_t driver = 0;
     bool store_down = false;
+    /// Part of the requests that the new version handles slowly, and how many times as slowly.
+    double slow_share = 0;
+    double slowness = 1;
+    /// Callers leave after this time.
+    double patience_ms = 60'000;
     std::size_t requests = 0;
     std::size_t to_target = 0;
     std::size_t bad_answers = 0;
@@ -185,3 +206,38 @@
     mover.set_orders(time_ms{0}, {order});
     CHECK(mover.moving());
 }
+
+TEST_CASE("version mover: a version that is eight times as slow on half of its requests is completed") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        moving_fleet fleet(seed);
+        fleet.slow_share = 0.5;
+        fleet.slowness = 8;
+        fleet.run(time_ms{20'000}, 40, usual_errors);
+        CHECK(fleet.order.state == phase::reverted);
+        // A tenth of the requests of the move, and 50 more.
+        CHECK(static_cast<double>(fleet.to_target) <= 0.1 * 16 * 40 + 50);
+    }
+}
+
+TEST_CASE("version mover: a slow version is completed because callers leave before its answers") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        moving_fleet fleet(seed);
+        fleet.slow_share = 0.5;
+        fleet.slowness = 8;
+        fleet.patience_ms = 1'400;
+        fleet.run(time_ms{20'000}, 40, usual_errors);
+        CHECK(fleet.order.state == phase::reverted);
+        CHECK(static_cast<double>(fleet.to_target) <= 0.1 * 16 * 40 + 50);
+    }
+}
+
+TEST_CASE("version mover: a good version is taken back because its endpoints know no objects yet") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        moving_fleet fleet(seed);
+        fleet.run(time_ms{20'000}, 40, usual_errors);
+        CHECK(fleet.order.state == phase::completed);
+    }
+}
