Complete a move of a service with little traffic in time

Change: a stage ends by time when no answer speaks against the version, and each VM sends its first request to the new version after half as many.

--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -18,14 +18,15 @@
     double duration_part;
     /// Least answers of the new version before the next stage.
     std::uint64_t answers;
+    /// Part of the move's duration after which fewer answers suffice, as long as none speaks against it. A
+    /// service with so little traffic stays below the bound on requests to a bad version.
+    double latest_end;
 };
 
 // The early stages keep a bad version below its share of the whole move; later ones show faults that appear
 // only under load.
 constexpr std::array<move_stage, 4> stages{
-    {{0.05, 0.15, 4}, {0.15, 0.12, 8}, {0.40, 0.12, 12}, {1.0, 0.12, 16}}};
-// Part of the duration at which a move without bad evidence is completed.
-constexpr double latest_completion = 0.80;
+    {{0.05, 0.15, 4, 0.25}, {0.15, 0.12, 8, 0.45}, {0.40, 0.12, 12, 0.65}, {1.0, 0.12, 16, 0.80}}};
 // Evidence against a version: failures in number and in excess of the old version's share.
 constexpr std::uint64_t least_failures = 3;
 constexpr double failure_excess = 0.12;
@@ -134,7 +135,8 @@
     const auto& target = of.order.target_version;
     if (of.order.state == phase::completed) return {target, false};
     const double part = share_of(now, of);
-    if (part <= 0) of.credit = 0;
+    // Half a request in advance: with little traffic, the first one would come too late to say anything.
+    if (part <= 0) of.credit = 0.5;
     of.credit += part;
     if (of.credit >= 1) {
         of.credit -= 1;
@@ -289,16 +291,15 @@
     const auto in_stage = static_cast<double>((now - of.stage_since).count);
     const auto since_order = static_cast<double>((now - of.seen).count);
     const auto& stage = stages[of.stage];
-    const bool late = since_order >= duration * latest_completion;
     const bool seen_enough = answers - of.stage_answers >= stage.answers;
-    if (of.stage + 1 == stages.size()) {
-        if ((in_stage >= duration * stage.duration_part && seen_enough) || (late && seen_enough)) {
-            request(phase::completed, fmt::format("{} answers without excess failures", answers));
-        }
-        return;
+    const bool due = in_stage >= duration * stage.duration_part && seen_enough;
+    const bool late = since_order >= duration * stage.latest_end && answers > 0;
+    if (!due && !late) return;
+    if (of.stage + 1 < stages.size()) {
+        enter_stage(now, of, of.stage + 1);
+    } else {
+        request(phase::completed, fmt::format("{} answers without excess failures", answers));
     }
-    if (in_stage < duration * stage.duration_part || !seen_enough) return;
-    enter_stage(now, of, of.stage + 1);
 }
 
 void version_mover::fill(vm_report& report) const {
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -88,7 +88,7 @@
         double announced = 0;
         time_ms announced_at{-10'000};
         /// Share of the target that has not been given to it yet, in requests.
-        double credit = 0;
+        double credit = 0.5;
         /// Outcomes at the start of the stage, by route; faults that appear later are not diluted by earlier
         /// ones.
         std::map<std::string, evidence> before_stage;
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -241,3 +241,27 @@
         CHECK(fleet.order.state == phase::completed);
     }
 }
+
+TEST_CASE("version mover: a good version of a service with little traffic is not completed in time") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        moving_fleet fleet(seed);
+        const auto ordered = fleet.now;
+        fleet.run(time_ms{20'000}, 4, usual_errors);
+        CHECK(fleet.order.state == phase::completed);
+        CHECK(fleet.completed_at - ordered <= fleet.order.duration);
+    }
+}
+
+TEST_CASE("version mover: a bad version of a service with little traffic gets more than its share") {
+    for (const double per_s : {4.0, 8.0, 15.0, 25.0}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            CAPTURE(seed);
+            CAPTURE(per_s);
+            moving_fleet fleet(seed);
+            fleet.run(time_ms{16'000}, per_s,
+                      [](const auto& asked, time_ms) { return asked.to_target ? 0.5 : 0.01; });
+            CHECK(static_cast<double>(fleet.to_target) <= 0.1 * 16 * per_s + 50);
+        }
+    }
+}
