Leave the endpoints of a short home region to the requests bound to it

Change: refusals of bound requests raise the price of the region's endpoints for the others; the price halves in 3 s without refusals.

--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -51,6 +51,10 @@
 // Part of all places, or of the slots alone, below which any VM may use them.
 constexpr double open_part = 0.8;
 constexpr double open_slots_part = 0.95;
+// How a refusal of a request that is bound to a region raises the price of the region for other requests, and
+// how soon the price falls again.
+constexpr double scarcity_weight = 0.1;
+constexpr double scarcity_half_life_ms = 3000;
 
 std::string times_key(const endpoint_request& request) {
     return request.route->name.value + '/' + std::string(request.service);
@@ -158,10 +162,35 @@
         price = kilobytes * zone_ms_per_kb;
     }
     const auto goal = static_cast<double>(request.route->goal.count);
+    if (!bound(request)) price += scarcity(now, request.service, endpoint->region) * goal;
     made.cost = made.expected + price + endpoint->failures * goal * 2 + load;
     return made;
 }
 
+// Whether the request may go to some regions only.
+bool endpoint_selector::bound(const endpoint_request& request) {
+    return request.regions != nullptr && request.regions->restricted();
+}
+
+// Part of the requests bound to a region that were lately refused there for want of room.
+double endpoint_selector::scarcity(time_ms now, std::string_view service, const std::string& region) const {
+    const auto of_service = scarce_.find(service);
+    if (of_service == scarce_.end()) return 0;
+    const auto found = of_service->second.find(region);
+    if (found == of_service->second.end()) return 0;
+    return found->second.part *
+           std::exp2(-static_cast<double>((now - found->second.updated).count) / scarcity_half_life_ms);
+}
+
+// Records whether a bound request found room in the region of the endpoint that suited it best.
+void endpoint_selector::note_bound(time_ms now, const endpoint_request& request, const std::string& region,
+                                   bool room) {
+    const double before = scarcity(now, request.service, region);
+    auto& entry = scarce_[std::string(request.service)][region];
+    entry.part = before + scarcity_weight * ((room ? 0.0 : 1.0) - before);
+    entry.updated = now;
+}
+
 // Rendezvous weight of an endpoint for an object, as a small part of its cost.
 double endpoint_selector::preference(const endpoint_state& endpoint, std::uint64_t subject) {
     // The finalizer of splitmix64 spreads the bits.
@@ -219,6 +248,7 @@
     const double open = std::max(open_part * places, open_slots_part * total.slots);
     const bool my_part = total.own < places / static_cast<double>(fleet) || total.known < open;
     const bool room = my_part && !best->full;
+    if (bound(request)) note_bound(now, request, best->endpoint->region, room);
     if (in_time && room) {
         choice.endpoint = best->endpoint;
         return choice;
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -125,6 +125,9 @@
 
     [[nodiscard]] bool usable(time_ms now, const endpoint_state& endpoint, const endpoint_request& request,
                               const backend_service* service) const;
+    static bool bound(const endpoint_request& request);
+    [[nodiscard]] double scarcity(time_ms now, std::string_view service, const std::string& region) const;
+    void note_bound(time_ms now, const endpoint_request& request, const std::string& region, bool room);
     [[nodiscard]] double load_of(time_ms now, const endpoint_state& endpoint) const;
     [[nodiscard]] double way(const endpoint_state& endpoint) const;
     [[nodiscard]] service_times times_of(const endpoint_request& request) const;
@@ -140,6 +143,13 @@
     std::string region_;
     std::mt19937_64 random_;
     std::map<std::string, service_times, std::less<>> times_;
+    /// Requests bound to a region that found no room there.
+    struct scarce_region {
+        double part = 0;
+        time_ms updated{0};
+    };
+    // By service and region.
+    std::map<std::string, std::map<std::string, scarce_region>, std::less<>> scarce_;
     // Milliseconds there and back, by zone.
     std::unordered_map<std::string, double> ways_;
 };
--- a/tests/endpoint_choice_test.cpp
+++ b/tests/endpoint_choice_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+#include <deque>
 #include <queue>
 #include <random>
 
@@ -350,3 +352,101 @@
         CHECK(service.refused_with_room <= service.asked / 500);
     }
 }
+
+namespace {
+
+/// One VM in region a with one endpoint of 3 slots in its own zone and three in region b; every request takes
+/// 190 ms. Some requests are bound to region a. Answers a home region that is short of endpoints.
+struct narrow_home {
+    explicit narrow_home(std::uint64_t seed)
+        : random(seed), registry(zones), selector(registry, "a1", "a", seed) {
+        for (std::size_t e = 0; e < running.size(); ++e)
+            registry.put(now, registration(name_of(e), e == 0 ? "a1" : "b1", e + 1));
+    }
+
+    static std::string name_of(std::size_t e) { return "e" + std::to_string(e); }
+
+    void run(time_ms span, double bound_per_s, double free_per_s) {
+        const auto end = now + span;
+        for (; now < end; now += time_ms{1}) {
+            if (std::bernoulli_distribution(bound_per_s / 1000)(random)) arrive(true);
+            if (std::bernoulli_distribution(free_per_s / 1000)(random)) arrive(false);
+            for (std::size_t e = 0; e < running.size(); ++e)
+                step(e);
+        }
+    }
+
+    void arrive(bool bound) {
+        auto asked = request_for(route, 0);
+        asked.regions = bound ? &only_a : &anywhere;
+        auto& counts = bound ? of_bound : of_free;
+        ++counts.asked;
+        const auto choice = selector.choose(now, asked, nullptr);
+        if (choice.endpoint == nullptr) return;
+        const auto& id = choice.endpoint->registration.id.value;
+        selector.on_send(now, *choice.endpoint, 0, nullptr);
+        waiting[std::stoul(id.substr(1))].push_back({now, bound, {}});
+    }
+
+    void step(std::size_t e) {
+        auto& jobs = running[e];
+        for (auto at = jobs.begin(); at != jobs.end();) {
+            if (at->until > now) {
+                ++at;
+                continue;
+            }
+            auto& counts = at->bound ? of_bound : of_free;
+            if (now - at->asked <= route.goal) ++counts.in_goal;
+            selector.on_end(now, *registry.find(name_of(e)), request_for(route, 0), at->asked, false,
+                            attempt_end::answered, nullptr);
+            at = jobs.erase(at);
+        }
+        while (jobs.size() < 3 && !waiting[e].empty()) {
+            jobs.push_back(waiting[e].front());
+            jobs.back().until = now + time_ms{190};
+            waiting[e].pop_front();
+        }
+    }
+
+    struct job {
+        time_ms asked{0};
+        bool bound = false;
+        time_ms until{0};
+    };
+    struct counters {
+        std::size_t asked = 0;
+        std::size_t in_goal = 0;
+    };
+    time_ms now{1'000'000};
+    std::mt19937_64 random;
+    host_route route = test_route();
+    std::vector<region_name> home{{"a"}};
+    std::vector<region_name> none;
+    region_filter only_a{home, none};
+    region_filter anywhere{none, none};
+    endpoint_registry registry;
+    endpoint_selector selector;
+    std::array<std::vector<job>, 4> running;
+    std::array<std::deque<job>, 4> waiting;
+    counters of_bound;
+    counters of_free;
+};
+
+} // namespace
+
+TEST_CASE("narrow home: requests that may go anywhere take the slots that an account has to itself") {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        narrow_home service(seed);
+        // Three slots and 190 ms: 15.8 requests per second fit into region a, 47 into region b.
+        const double bound_capacity = 15.8 * 30;
+        service.run(time_ms{5'000}, 30, 30);
+        service.of_bound = service.of_free = {};
+        service.run(time_ms{30'000}, 30, 30);
+        MESSAGE("bound " << service.of_bound.in_goal << " of " << bound_capacity << ", free "
+                         << service.of_free.in_goal << " of " << service.of_free.asked);
+        CHECK(static_cast<double>(service.of_bound.in_goal) >= 0.9 * bound_capacity);
+        CHECK(static_cast<double>(service.of_free.in_goal) >=
+              0.9 * static_cast<double>(service.of_free.asked));
+    }
+}
