Let new callers take the place of the connection that is idle for longest

Change: callers may use three quarters of the descriptors; beyond, the connection that is idle for longest, and for 250 ms at least, is closed.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -35,6 +35,9 @@
 // After a refusal in the middle of a body, the caller gets this long to read the answer before the connection
 // is closed; closing at once would reset it and could destroy the answer.
 constexpr time_ms linger{1'000};
+// A connection is closed in favour of a new one only after this long without a request: the next one may be
+// on its way.
+constexpr time_ms least_idle{250};
 constexpr std::size_t linger_bytes = std::size_t{1024} * 1024;
 
 auto completion(error_code& failure) {
@@ -71,13 +74,21 @@
         : socket_(std::move(socket)), times_(times), wake_(socket_.get_executor()) {}
 
     [[nodiscard]] bool busy() const { return busy_; }
-    void set_busy(bool busy) { busy_ = busy; }
+    void set_busy(bool busy) {
+        busy_ = busy;
+        idle_since_ = monotonic_now();
+    }
+    [[nodiscard]] time_ms idle_since() const { return idle_since_; }
     [[nodiscard]] bool empty() const { return buffer_.size() == 0; }
 
     void close() {
         error_code ignored;
         socket_.close(ignored);
     }
+    [[nodiscard]] bool closed() const { return !socket_.is_open(); }
+
+    /// Place in the list of the server.
+    std::list<std::shared_ptr<connection>>::iterator place;
 
     /// @brief Waits for the first byte of a request.
     /// @return False when the caller closes or stays silent.
@@ -173,6 +184,7 @@
     boost::beast::flat_buffer buffer_;
     std::function<void()> on_leave_;
     std::size_t read_bytes_ = first_read_bytes;
+    time_ms idle_since_ = monotonic_now();
     bool reading_ = false;
     bool ended_ = false;
     bool expired_ = false;
@@ -271,19 +283,25 @@
     while (acceptor_.is_open()) {
         error_code failure;
         tcp::socket socket(context_);
-        if (connections_.size() < most_) {
+        if (connections_.size() < most_ || longest_idle() != nullptr) {
             co_await acceptor_.async_accept(socket, completion(failure));
         }
         if (failure == asio::error::operation_aborted) co_return;
         if (failure || !socket.is_open()) {
-            // Out of descriptors or at the limit: connections must end first.
+            // Out of descriptors, or at the limit without an idle connection: connections must end first.
             asio::steady_timer pause(context_, std::chrono::milliseconds(20));
             co_await pause.async_wait(completion(failure));
             continue;
         }
         socket.set_option(tcp::no_delay(true), failure);
+        if (connections_.size() >= most_) {
+            if (const auto idle = longest_idle()) {
+                idle->close();
+                ++closed_for_others_;
+            }
+        }
         auto made = std::make_shared<connection>(std::move(socket), times_);
-        connections_.push_back(made);
+        made->place = connections_.insert(connections_.end(), made);
         asio::co_spawn(context_, serve(std::move(made)), asio::detached);
     }
 }
@@ -459,11 +477,22 @@
         of->set_busy(true);
         end = co_await exchange(of, bounds);
         // A connection that is about to end stays busy, so that a stop does not cut its last answer.
-        if (end == exchange_end::keep) of->set_busy(false);
+        if (end != exchange_end::keep) break;
+        of->set_busy(false);
+        connections_.splice(connections_.end(), connections_, of->place);
     }
     co_await of->finish(end == exchange_end::close_unread);
     of->close();
-    connections_.remove(of);
+    connections_.erase(of->place);
+}
+
+// The connection that is the least likely to be used again, or null when all have a request.
+std::shared_ptr<caller_server::connection> caller_server::longest_idle() const {
+    const auto before = monotonic_now() - least_idle;
+    const auto idle = std::find_if(connections_.begin(), connections_.end(), [before](const auto& item) {
+        return !item->busy() && item->empty() && !item->closed() && item->idle_since() < before;
+    });
+    return idle == connections_.end() ? nullptr : *idle;
 }
 
 void caller_server::close_idle() {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -63,7 +63,8 @@
     caller_server(boost::asio::io_context& context, deadlines& times, bounds_source bounds,
                   handler on_request);
     /// @brief Binds and accepts.
-    /// @param most Connections open at once; further ones wait in the queue of the system.
+    /// @param most Connections open at once. A further one takes the place of the one that has been idle for
+    /// longest, or waits in the queue of the system when none is idle.
     /// @throws boost::system::system_error when binding fails.
     void listen(std::string_view address, std::size_t most);
     /// @brief From now on every answer closes its connection.
@@ -76,6 +77,8 @@
     void set_lag(time_ms lag) { lag_ = lag; }
     [[nodiscard]] std::size_t busy() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+    /// @brief Idle connections that were closed to make room for others.
+    [[nodiscard]] std::uint64_t closed_for_others() const { return closed_for_others_; }
 
 private:
     class connection;
@@ -101,13 +104,16 @@
                                                   const caller_bounds& bounds);
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<connection> of);
+    [[nodiscard]] std::shared_ptr<connection> longest_idle() const;
 
     boost::asio::io_context& context_;
     deadlines& times_;
     bounds_source bounds_;
     handler on_request_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    // The longest idle ones first.
     std::list<std::shared_ptr<connection>> connections_;
+    std::uint64_t closed_for_others_ = 0;
     std::size_t most_ = 0;
     time_ms lag_{0};
     bool stopping_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 constexpr time_ms revisions_repeated{1000};
 // Timers are always late by a few milliseconds.
 constexpr time_ms least_lag{20};
+// A thread that is this late delays answers by a noticeable part of any goal.
+constexpr time_ms logged_lag{100};
 constexpr time_ms slow_interval{1000};
 // Lifetime of a lookup answer: long enough to spare calls, short enough to leave a dead VM soon.
 constexpr time_ms lookup_lifetime{2000};
@@ -46,7 +48,7 @@
 // VMs named in one lookup answer.
 constexpr std::size_t most_named = 64;
 // Part of the descriptors that callers may use; the rest is for endpoints, peers and the store.
-constexpr double caller_descriptors = 0.5;
+constexpr double caller_descriptors = 0.75;
 
 std::vector<std::string> mirrored_kinds() {
     return {std::string(platform::configuration_kind), std::string(platform::endpoint_kind),
@@ -382,6 +384,8 @@
         // backlog is worked off in batches.
         lag = std::max(now - due, lag / 2);
         callers_.set_lag(lag > least_lag ? lag : time_ms{0});
+        if (now - due > logged_lag)
+            log(log_level::warn, "thread_late", {{"ms", (now - due).count}, {"busy", callers_.busy()}});
         times_.tick(now);
         registry_.expire(now);
         selector_.fleet = fleet_.alive_count(now);
@@ -528,6 +532,7 @@
     add("lacewing_endpoints", registry_.size());
     add("lacewing_vms_alive", fleet_.alive_count(monotonic_now()));
     add("lacewing_caller_connections", callers_.connections());
+    add("lacewing_caller_connections_closed_for_others_total", callers_.closed_for_others());
     if (flow_.routes() != nullptr)
         add("lacewing_configuration_version", flow_.routes()->configuration().version);
     return out;
