Add lacewingctl explain, which tells a request's story from logs of several VMs

Cause: a failed request had to be searched in the logs of each VM by hand, and warnings of its VM or changes of its endpoint were easily overlooked.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -16,5 +16,6 @@
 void add_key_commands(CLI::App& app, const global_options& options, chosen_command& chosen);
 void add_move_commands(CLI::App& app, const global_options& options, chosen_command& chosen);
 void add_status_commands(CLI::App& app, const global_options& options, chosen_command& chosen);
+void add_explain_command(CLI::App& app, const global_options& options, chosen_command& chosen);
 
 } // namespace lacewing::ctl
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -62,6 +62,7 @@
     add_key_commands(app, options, chosen);
     add_move_commands(app, options, chosen);
     add_status_commands(app, options, chosen);
+    add_explain_command(app, options, chosen);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
--- a/tests/system/golden_sessions_test.cpp
+++ b/tests/system/golden_sessions_test.cpp
@@ -254,8 +254,8 @@
     record({"keys", "give", "stranger"});
     record({"keys", "withdraw", "guest", "-"}, given.out.substr(0, given.out.find('\n') + 1));
     record({"keys", "withdraw", "guest", "lwk_unknown"});
-    // Requests in flight at the endpoint keep the drain running until it is cancelled, so that the output does
-    // not depend on how soon a VM takes it up.
+    // Requests in flight at the endpoint keep the drain running until it is cancelled, so that the output
+    // does not depend on how soon a VM takes it up.
     system.behave(R"({"service_ms":30000})", system.endpoint("balance", "north", 1));
     std::vector<raw_connection> held;
     const header_list patient{{"Authorization", "Bearer " + system.office_key()}, {"X-Deadline-Ms", "60000"}};
@@ -269,9 +269,8 @@
     };
     REQUIRE(wait_until(in_flight));
     record({"drain", "start", "--endpoint", "balance-north-1", "--deadline", "60"});
-    REQUIRE(wait_until([&] {
-        return system.stored("drains/endpoint-balance-north-1")["value"]["state"] == "running";
-    }));
+    REQUIRE(wait_until(
+        [&] { return system.stored("drains/endpoint-balance-north-1")["value"]["state"] == "running"; }));
     record({"drain", "start", "--endpoint", "balance-north-1", "--deadline", "60"});
     record({"drain", "start", "--endpoint", "unknown"});
     record({"drain", "status"});
@@ -279,6 +278,14 @@
     record({"drain", "cancel", "endpoint-balance-north-1"});
     record({"status"});
     record({"history"});
+    const auto log = system.write_file(
+        "vm-1.log", "time=2026-05-18T21:59:27.000Z level=warn event=thread_late ms=150 busy=3\n"
+                    "time=2026-05-18T21:59:28.000Z level=info event=request id=r1 endpoint=e-1 status=504 "
+                    "detail=\"the endpoint's own answer\"\n");
+    record({"explain", "r1", log});
+    record({"--json", "explain", "r1", log});
+    record({"explain", "r2", log});
+    record({"explain", "r1", system.folder().string() + "/missing.log"});
     record({"frobnicate"});
     check_golden("operator_session.txt", normalised(system, text));
 }
