Assume that a VM that falls silent goes on spending an account's tokens

Until a cut is noticed, after up to 2.2 s, each side fills its model of the bucket with tokens that the other side has spent, and spends them as burst. Change: from 450 ms without a report a VM is assumed to admit at its last pace, until the fleet is counted without it; its next report replaces the assumption.

--- a/src/coordination/account_limiter.cpp
+++ b/src/coordination/account_limiter.cpp
@@ -12,6 +12,11 @@
 constexpr double demand_smoothing = 0.4;
 // A peer whose report is older than this no longer counts in the division of the refill.
 constexpr time_ms stale_report{3000};
+// Reports come every 300 ms or sooner; a peer without one for this long has fallen silent.
+constexpr time_ms silent_after{450};
+// A VM counts as silent after 1.2 s, and VMs are counted once a second; from then on the refill holds back
+// its part.
+constexpr time_ms assumed_for{2200};
 // Every VM counts with a little demand, so that the first request of an account finds a share.
 constexpr double least_demand_per_s = 0.5;
 // The local part of the refill may be saved for this long, in seconds.
@@ -71,10 +76,23 @@
     return connected_ ? 1 - held_back_part * (1 - heard) : cut_off_part * heard;
 }
 
+// Subtracts what silent peers are assumed to have admitted since their last report.
+void account_limiter::charge_silent(time_ms now, bucket& of) {
+    for (auto& [vm, peer] : of.peers) {
+        const auto silence = now - peer.updated;
+        if (!peer.measured || silence < silent_after) continue;
+        const auto span = std::min(silence, assumed_for);
+        const double assumed = peer.admitted_per_s * static_cast<double>(span.count) / 1000.0;
+        of.level -= assumed - peer.assumed;
+        peer.assumed = assumed;
+    }
+}
+
 void account_limiter::refill(time_ms now, bucket& of) const {
     const double seconds = static_cast<double>((now - of.updated).count) / 1000.0;
     if (seconds <= 0) return;
     of.updated = now;
+    charge_silent(now, of);
     const double rate = of.rate * usable_part();
     of.level = std::min(of.burst, of.level + rate * seconds);
     const double own_rate = rate * share(now, of);
@@ -131,8 +149,15 @@
         if (continued) {
             const double per_s =
                 static_cast<double>(totals.asked - before.asked) * 1000.0 / static_cast<double>(span);
-            peer.asked_per_s += (peer.measured ? demand_smoothing : 1.0) * (per_s - peer.asked_per_s);
+            const double admitted_per_s =
+                static_cast<double>(totals.admitted - before.admitted) * 1000.0 / static_cast<double>(span);
+            const double weight = peer.measured ? demand_smoothing : 1.0;
+            peer.asked_per_s += weight * (per_s - peer.asked_per_s);
+            peer.admitted_per_s += weight * (admitted_per_s - peer.admitted_per_s);
+            // The report tells what was only assumed.
+            found->second.level += peer.assumed;
         }
+        peer.assumed = 0;
         peer.measured = continued;
         // What was admitted before contact began belongs to an earlier refill, and is not known in full.
         if (continued) found->second.level -= static_cast<double>(totals.admitted - before.admitted);
--- a/src/coordination/account_limiter.h
+++ b/src/coordination/account_limiter.h
@@ -17,7 +17,8 @@
 /// Every VM keeps a model of one fleet-wide token bucket per account, from which it subtracts its own
 /// requests at once and those of the others when their reports arrive. While the model is at least half full,
 /// any VM admits. Below that, a VM admits only out of its share of the refill, which follows its share of the
-/// demand; the delay of the reports then cannot multiply one token by the number of VMs.
+/// demand; the delay of the reports then cannot multiply one token by the number of VMs. A VM that falls
+/// silent is assumed to go on at its last pace until the fleet counts without it.
 class account_limiter {
 public:
     /// Part of its proportional share that a minority gives out while it is cut off from most of the fleet,
@@ -56,7 +57,10 @@
         incarnation_id incarnation;
         account_usage totals;
         double asked_per_s = 0;
-        /// Two reports have been compared, so asked_per_s means something.
+        double admitted_per_s = 0;
+        /// Admissions that are assumed since the last report, because the peer has fallen silent.
+        double assumed = 0;
+        /// Two reports have been compared, so the paces mean something.
         bool measured = false;
         time_ms updated{0};
     };
@@ -76,6 +80,7 @@
     };
 
     void refill(time_ms now, bucket& of) const;
+    static void charge_silent(time_ms now, bucket& of);
     [[nodiscard]] double usable_part() const;
     [[nodiscard]] double share(time_ms now, const bucket& of) const;
 
--- a/src/ctl/explain_command.cpp
+++ b/src/ctl/explain_command.cpp
@@ -14,9 +14,9 @@
 std::string text_of(const story_line& of) {
     auto text = fmt::format("{} {} {}", of.line.time, of.source, of.line.event);
     for (const auto& [name, value] : of.line.fields) {
-        if (name != "id")
-            text += value.find(' ') == std::string::npos ? fmt::format(" {}={}", name, value)
-                                                         : fmt::format(" {}=\"{}\"", name, value);
+        if (name == "id") continue;
+        const auto* const pattern = value.find(' ') == std::string::npos ? " {}={}" : " {}=\"{}\"";
+        text += fmt::format(fmt::runtime(pattern), name, value);
     }
     return text;
 }
--- a/tests/account_limiter_test.cpp
+++ b/tests/account_limiter_test.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <deque>
 #include <random>
+#include <utility>
+#include <vector>
 
 using namespace lacewing;
 
@@ -59,9 +61,15 @@
         }
     }
 
-    // Cuts the first VMs off from the others; both sides notice after the silence limit.
+    // Cuts the first VMs off from the others.
     void cut(std::size_t count) {
         cut_off = count;
+        notice_cut();
+    }
+
+    // Both sides count the VMs that they hear.
+    void notice_cut() {
+        const auto count = cut_off;
         for (std::size_t i = 0; i < limiters.size(); ++i) {
             const auto heard = i < count ? count : limiters.size() - count;
             const bool majority = heard * 2 > limiters.size() || (heard * 2 == limiters.size() && i < count);
@@ -120,6 +128,27 @@
     }
 }
 
+TEST_CASE("account limiter: both sides of a cut spend what the other has spent until they notice it") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const auto& [vms, cut] :
+             std::vector<std::pair<std::size_t, std::size_t>>{{8, 3}, {11, 5}, {11, 3}}) {
+            CAPTURE(seed);
+            CAPTURE(vms);
+            CAPTURE(cut);
+            limiter_fleet fleet(vms, time_ms{300}, true, seed);
+            const double hot = rate * 8 / static_cast<double>(vms);
+            fleet.run(time_ms{4000}, rate * 0.6 / static_cast<double>(vms));
+            fleet.run(time_ms{2000}, hot);
+            fleet.cut_off = cut;
+            // A VM counts as silent after 1.2 s, and VMs are counted once a second.
+            fleet.run(time_ms{2200}, hot);
+            fleet.notice_cut();
+            fleet.run(time_ms{8000}, hot);
+            CHECK(static_cast<double>(fleet.most_in_window()) <= allowed_in_window);
+        }
+    }
+}
+
 TEST_CASE("account limiter: a fleet that was killed and starts again gives out a second burst") {
     limiter_fleet before(8, time_ms{300}, true, 7);
     before.run(time_ms{4000}, rate * 5 / 8);
