Close the gap between the last key confirmation and the verdict of an outage

Cause: a key list counts as fresh for exactly 3 s, and the verdict that the store is out of service was looked up only afterwards, by a thread with ticks of 50 ms; requests in between got 503 keys_stale. A trace of the verdicts showed them 2 to 42 ms after the end of the validity, on both VMs that serve. Ruled out: missing evidence of a zone (present at 3.01 s), fencing. Change: the verdict is looked up 150 ms ahead as well.

--- a/src/coordination/key_policy.cpp
+++ b/src/coordination/key_policy.cpp
@@ -11,10 +11,9 @@
 constexpr time_ms policy_validity{500};
 constexpr time_ms never_valid{-1};
 
-} // namespace
-
-time_ms keys_valid_until(time_ms now, key_verdict verdict, std::optional<time_ms> age,
-                         const key_policy_settings& policy) {
+// What one verdict allows.
+time_ms valid_until(time_ms now, key_verdict verdict, std::optional<time_ms> age,
+                    const key_policy_settings& policy) {
     if (!age) return never_valid;
     const auto confirmed_at = now - *age;
     switch (verdict) {
@@ -32,4 +31,12 @@
     return never_valid;
 }
 
+} // namespace
+
+time_ms keys_valid_until(time_ms now, key_verdict verdict, key_verdict next, std::optional<time_ms> age,
+                         const key_policy_settings& policy) {
+    const auto current = valid_until(now, verdict, age, policy);
+    return verdict == key_verdict::fresh ? std::max(current, valid_until(now, next, age, policy)) : current;
+}
+
 } // namespace lacewing
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -396,7 +396,8 @@
     const auto verdict = node_.verdict(now, zones_);
     key_validity validity;
     validity.verdict = to_string(verdict);
-    validity.valid_until = keys_valid_until(now, verdict, node_.freshness().age(now), settings_.key_policy);
+    validity.valid_until = keys_valid_until(now, verdict, node_.verdict(now + verdict_lookahead, zones_),
+                                            node_.freshness().age(now), settings_.key_policy);
     if (!needs_sending(validity)) return;
     if (to_serve_.push(validity)) sent_validity_ = validity;
 }
--- a/tests/key_policy_test.cpp
+++ b/tests/key_policy_test.cpp
@@ -10,7 +10,7 @@
 constexpr time_ms now = 10'000'000_ms;
 
 bool usable(key_verdict verdict, std::optional<time_ms> age, const key_policy_settings& policy) {
-    return keys_valid_until(now, verdict, age, policy) >= now;
+    return keys_valid_until(now, verdict, verdict, age, policy) >= now;
 }
 
 } // namespace
@@ -36,9 +36,10 @@
 }
 
 TEST_CASE("a paused process goes on using a list that was fresh before the pause") {
-    const auto until = keys_valid_until(now, key_verdict::fresh, 1_s, {});
+    const auto until = keys_valid_until(now, key_verdict::fresh, key_verdict::fresh, 1_s, {});
     CHECK(until == now + 2_s);
-    CHECK(keys_valid_until(now, key_verdict::serve_under_outage_policy, 5_s, {}) < now + 1_s);
+    const auto outage = key_verdict::serve_under_outage_policy;
+    CHECK(keys_valid_until(now, outage, outage, 5_s, {}) < now + 1_s);
 }
 
 TEST_CASE("keys are used although the list was never confirmed") {
@@ -47,3 +48,15 @@
         CHECK_FALSE(usable(verdict, std::nullopt, {}));
     }
 }
+
+TEST_CASE("keys run out between their last confirmation and the verdict of a store outage") {
+    const auto age = freshness_settings{}.bound - 100_ms;
+    const auto until =
+        keys_valid_until(now, key_verdict::fresh, key_verdict::serve_under_outage_policy, age, {});
+    CHECK(until >= now + 100_ms + verdict_lookahead);
+    // A partition that is coming does not end the time for which the list is still fresh, and a policy
+    // against serving then is kept.
+    CHECK(keys_valid_until(now, key_verdict::fresh, key_verdict::serve_under_partition_policy, age, {}) ==
+          now + 100_ms);
+    CHECK(keys_valid_until(now, key_verdict::fresh, key_verdict::stale, age, {}) == now + 100_ms);
+}
