Mend what the linter found in the log story and two tests

Cause: clang-tidy on all sources: a string copied for each call, and structured bindings captured by doctest. Change: a reference; named values. No change of behaviour.

--- a/src/protocol/log_story.cpp
+++ b/src/protocol/log_story.cpp
@@ -113,7 +113,7 @@
     return made;
 }
 
-void story_collector::read(std::string source, std::istream& in) {
+void story_collector::read(const std::string& source, std::istream& in) {
     std::string text;
     while (std::getline(in, text)) {
         if (text.ends_with('\r')) text.pop_back();
--- a/src/protocol/log_story.h
+++ b/src/protocol/log_story.h
@@ -45,7 +45,7 @@
 
     /// @brief Reads one log.
     /// @param source Name under which its lines appear, such as the name of its file.
-    void read(std::string source, std::istream& in);
+    void read(const std::string& source, std::istream& in);
 
     /// @brief The lines in the order of time; empty when no line names the request.
     [[nodiscard]] std::vector<story_line> story() const;
--- a/tests/account_limiter_test.cpp
+++ b/tests/account_limiter_test.cpp
@@ -130,8 +130,9 @@
 
 TEST_CASE("account limiter: both sides of a cut spend what the other has spent until they notice it") {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        for (const auto& [vms, cut] :
-             std::vector<std::pair<std::size_t, std::size_t>>{{8, 3}, {11, 5}, {11, 3}}) {
+        for (const auto& size : std::vector<std::pair<std::size_t, std::size_t>>{{8, 3}, {11, 5}, {11, 3}}) {
+            const auto vms = size.first;
+            const auto cut = size.second;
             CAPTURE(seed);
             CAPTURE(vms);
             CAPTURE(cut);
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -51,13 +51,15 @@
     report.in_flight = {{1, 2}};
     report.objects = {{35, {36}}};
     const auto text = encode_report(report);
-    for (const auto& [from, to] :
+    for (const auto& change :
          std::vector<std::pair<std::string, std::string>>{{"\"1 2\"", "[1,2]"},
                                                           {"\"1 2\"", "7"},
                                                           {"\"1 2\"", "\"1 -\""},
                                                           {"\"1 2\"", "\"1\""},
                                                           {"\"z 10\"", "\",\""},
                                                           {"\"z 10\"", "\"zzzzzzzzzzzzzzzzz\""}}) {
+        const auto& from = change.first;
+        const auto& to = change.second;
         CAPTURE(to);
         auto damaged = text;
         REQUIRE(damaged.find(from) != std::string::npos);
