Record the limits that endpoints name, in logs and metrics

Cause: the logs could not tell whether VMs see the limits of endpoints, how many requests each of them sends under a limit, and when a restarted VM learns of one. Change: parse Server-Limit of every answer, also from the head of a long one; log each change with the requests sent under the limit before; two metrics. No decision uses it yet.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -115,6 +115,12 @@
     return found == by_id_.end() ? nullptr : found->second;
 }
 
+std::size_t endpoint_registry::limited_endpoint_count() const {
+    return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(), [](const auto& entry) {
+        return entry.second->limit.per_s().has_value();
+    }));
+}
+
 void endpoint_registry::fill(vm_report& report, report_audience audience) const {
     const auto index = static_cast<std::size_t>(audience);
     for (const auto& [id, state] : by_id_) {
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/endpoint_limit.h"
 #include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
@@ -80,6 +81,7 @@
     /// Tokens for requests while the endpoint is cold.
     double cold_tokens = 1;
     time_ms cold_tokens_updated{0};
+    endpoint_limit limit;
     recent_objects warm_objects;
 };
 
@@ -121,6 +123,8 @@
     endpoints_of_service(const std::string& service) const;
     [[nodiscard]] std::shared_ptr<endpoint_state> find(const std::string& id) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
+    /// @brief Number of endpoints with a limit in force.
+    [[nodiscard]] std::size_t limited_endpoint_count() const;
 
     /// @brief Adds the requests of this VM in flight and the objects that it has sent to its report.
     void fill(vm_report& report, report_audience audience) const;
--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -338,6 +338,7 @@
                                 const backend_service* service) {
     endpoint.in_flight.push_back(now);
     ++endpoint.sent_count;
+    endpoint.limit.on_send();
     if (request.object != 0) {
         endpoint.warm_objects.add(request.object);
         for (auto& list : endpoint.unreported_objects)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -533,6 +533,8 @@
     add("lacewing_repeats_total", counted.repeats);
     add("lacewing_callers_left_total", counted.callers_left);
     add("lacewing_refused_by_shift_limit_total", counted.refused_by_shift_limit);
+    add("lacewing_sent_to_limited_endpoints_total", counted.sent_to_limited_endpoints);
+    add("lacewing_limited_endpoints", registry_.limited_endpoint_count());
     for (const auto& row : all_error_answers()) {
         const auto count = counted.refused[static_cast<std::size_t>(row.kind)];
         if (count != 0) out += fmt::format("lacewing_refused_total{{kind=\"{}\"}} {}\n", row.name, count);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -280,15 +280,23 @@
     context.endpoint = id;
     context.warm = choice.warm;
     selector_.on_send(started, *endpoint, query, context.service);
+    if (endpoint->limit.per_s()) ++counters_.sent_to_limited_endpoints;
+    // The head of a long answer tells the limit well before the end of its body.
+    const answer_sink learning_sink{
+        [this, &endpoint, &sink](const endpoint_answer& answer, std::optional<std::uint64_t> length) {
+            learn_endpoint_limit(*endpoint, answer);
+            return sink.begin(answer, length);
+        },
+        sink.write};
     endpoint_attempt current_attempt(pool_, deadlines_, dialect_);
     context.request->on_disconnect = [&current_attempt] { current_attempt.abort(); };
     endpoint_result result;
     {
         const scoped_deadline limit(deadlines_, context.deadline,
                                     [&current_attempt] { current_attempt.abort(); });
-        result =
-            co_await current_attempt.run(endpoint->registration.address,
-                                         make_attempt_message(context, id, context.deadline - started), sink);
+        result = co_await current_attempt.run(endpoint->registration.address,
+                                              make_attempt_message(context, id, context.deadline - started),
+                                              learning_sink);
     }
     context.request->on_disconnect = nullptr;
     const auto now = monotonic_now();
@@ -299,6 +307,7 @@
         if (fields.count(dialect_.load) > 0)
             endpoint_selector::on_load_report(now, *endpoint, view(fields[dialect_.load]));
         if (result.answer->status == 421) endpoint->replaced = true;
+        if (!result.streamed) learn_endpoint_limit(*endpoint, *result.answer);
     }
     selector_.on_end(now, *endpoint, query, started, choice.warm, result.outcome, context.service);
     record_version_outcome(context, *endpoint, choice, result, now - started);
@@ -309,6 +318,31 @@
     co_return result;
 }
 
+// Records the limit that an answer names, or that it names none.
+void request_flow::learn_endpoint_limit(endpoint_state& endpoint, const endpoint_answer& answer) {
+    // Another process answers 421 at the address.
+    if (answer.status == 421) return;
+    const auto count = answer.fields.count(dialect_.limit);
+    const auto text = view(answer.fields[dialect_.limit]);
+    const auto per_s = count == 1 ? parse_endpoint_limit(text) : std::nullopt;
+    if (count > 0 && !per_s) {
+        log(log_level::warn, "endpoint_limit_rejected",
+            {{"endpoint", endpoint.registration.id.value}, {"value", text}, {"count", count}});
+        return;
+    }
+    const auto now = monotonic_now();
+    const auto before = endpoint.limit;
+    if (!endpoint.limit.on_answer(now, per_s)) return;
+    const auto name = [](std::optional<double> rate) { return rate ? fmt::format("{}", *rate) : "none"; };
+    log(log_level::warn, "endpoint_limit",
+        {{"endpoint", endpoint.registration.id.value},
+         {"service", endpoint.registration.service},
+         {"per_s", name(per_s)},
+         {"previous_per_s", name(before.per_s())},
+         {"previous_ms", before.per_s() ? (now - before.changed_at()).count : 0},
+         {"previous_sent", before.sent()}});
+}
+
 // Records the outcome as evidence for or against the endpoint's version.
 void request_flow::record_version_outcome(const request_context& context, const endpoint_state& endpoint,
                                           const endpoint_choice& choice, const endpoint_result& result,
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -32,6 +32,8 @@
     std::uint64_t callers_left = 0;
     /// Refusals for which another region had an endpoint, beyond the limit on shifts between regions.
     std::uint64_t refused_by_shift_limit = 0;
+    /// Sends to endpoints with a limit in force.
+    std::uint64_t sent_to_limited_endpoints = 0;
     /// Error answers by error_kind.
     std::array<std::uint64_t, 32> refused{};
     /// Upper bounds of the latency histogram, and the count of each bucket; the last one has no bound.
@@ -105,6 +107,7 @@
     boost::asio::awaitable<caller_answer> forward(request_context& context, const answer_sink& sink);
     boost::asio::awaitable<endpoint_result> attempt(request_context& context, const endpoint_request& query,
                                                     const endpoint_choice& choice, const answer_sink& sink);
+    void learn_endpoint_limit(endpoint_state& endpoint, const endpoint_answer& answer);
     void record_version_outcome(const request_context& context, const endpoint_state& endpoint,
                                 const endpoint_choice& choice, const endpoint_result& result,
                                 time_ms duration);
--- a/src/protocol/caller_dialect.h
+++ b/src/protocol/caller_dialect.h
@@ -24,6 +24,8 @@
     std::string_view not_run;
     /// Header with the load of the answering endpoint: "running,waiting,slots".
     std::string_view load;
+    /// Header with the requests per second that the answering endpoint takes from all VMs together.
+    std::string_view limit;
     /// Path at which callers request the addresses of entry VMs.
     std::string_view lookup_path;
     /// Path of the readiness check.
