--- /dev/null
+++ b/tests/endpoint_fleet.h
@@ -0,0 +1,257 @@
+#pragma once
+
+#include "coordination/endpoint_registry.h"
+#include "coordination/endpoint_selector.h"
+#include "coordination/vm_report.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewing::testing {
+
+/// VMs and endpoints of one service in three regions, without network. The VMs of a region report to each
+/// other every 100 ms, those of other regions every 300 ms. An answer takes 250 ms if its object is warm at
+/// the endpoint and 840 ms otherwise.
+struct endpoint_fleet {
+    static constexpr std::size_t regions = 3;
+    static constexpr std::size_t slots = 3;
+    static constexpr time_ms cross_region_delay{110};
+    static constexpr time_ms warm_time{250};
+    static constexpr time_ms cold_time{840};
+
+    struct layout {
+        std::array<std::size_t, regions> endpoints{};
+        std::size_t vms_per_region = 2;
+        /// Limit of region_shift_limiter.
+        double max_shift = 1;
+        std::uint64_t seed = 1;
+        /// All VMs of a region make the same random choices.
+        bool common_choices = false;
+    };
+    struct job {
+        time_ms asked{0};
+        time_ms started{0};
+        time_ms arrives{0};
+        time_ms finish{0};
+        std::size_t vm = 0;
+        /// Process of the VM that sent the request.
+        std::uint64_t incarnation = 0;
+        bool warm = false;
+        std::uint32_t object = 0;
+    };
+    struct server {
+        std::vector<job> running;
+        std::deque<job> waiting;
+        recent_objects warm;
+        std::size_t region = 0;
+        bool lost = false;
+        /// Limit that the endpoint names in its answers.
+        std::optional<double> limit;
+        /// Requests that have been sent to the endpoint.
+        std::vector<time_ms> sent;
+    };
+    struct vm {
+        vm(std::size_t home, const std::unordered_map<std::string, std::string>& zones, double max_shift,
+           std::uint64_t process, std::uint64_t seed)
+            : region(home), registry(zones),
+              selector(registry, "z" + std::to_string(home), "r" + std::to_string(home), seed, max_shift),
+              incarnation(process) {}
+        std::size_t region;
+        endpoint_registry registry;
+        endpoint_selector selector;
+        std::uint64_t incarnation;
+        /// The process does not run: it gets no callers, sends no reports and reads none.
+        bool paused = false;
+    };
+
+    explicit endpoint_fleet(const layout& sizes)
+        : random(sizes.seed), max_shift(sizes.max_shift), common_choices(sizes.common_choices) {
+        for (std::size_t region = 0; region < regions; ++region)
+            zones["z" + std::to_string(region)] = "r" + std::to_string(region);
+        route.name = {"r"};
+        route.goal = time_ms{600};
+        route.affinity = true;
+        route.parts = {{"s", 1}};
+        for (std::size_t i = 0; i < sizes.vms_per_region * regions; ++i)
+            add_vm(i % regions);
+        for (std::size_t region = 0; region < regions; ++region) {
+            for (std::size_t i = 0; i < sizes.endpoints.at(region); ++i)
+                add_server(region);
+        }
+    }
+
+    void add_vm(std::size_t region) {
+        vms.push_back(start_process(region));
+        for (auto& item : vms)
+            item->selector.fleet = vms.size();
+    }
+
+    /// Ends the process of a VM and starts another, which knows only the registrations.
+    void restart_vm(std::size_t index) { vms[index] = start_process(vms[index]->region); }
+
+    std::unique_ptr<vm> start_process(std::size_t region) {
+        ++processes;
+        auto made = std::make_unique<vm>(region, zones, max_shift, processes,
+                                         common_choices ? region + 1 : processes);
+        for (std::size_t e = 0; e < servers.size(); ++e)
+            register_server(*made, e);
+        made->selector.fleet = vms.size();
+        return made;
+    }
+
+    void add_server(std::size_t region) {
+        servers.emplace_back();
+        servers.back().region = region;
+        for (auto& item : vms)
+            register_server(*item, servers.size() - 1);
+    }
+
+    void register_server(vm& target, std::size_t e) const {
+        endpoint_registration made;
+        made.id = {std::to_string(e)};
+        made.service = "s";
+        made.address = "10.0.0.1:" + std::to_string(1000 + e);
+        made.zone = {"z" + std::to_string(servers[e].region)};
+        made.version = "v1";
+        made.slots = slots;
+        made.revision = e + 1;
+        target.registry.put(now, made);
+    }
+
+    void run(time_ms span, double per_s_and_region) {
+        const auto end = now + span;
+        for (; now < end; now += time_ms{1}) {
+            for (std::size_t region = 0; region < regions; ++region) {
+                if (std::bernoulli_distribution(per_s_and_region / 1000)(random)) arrive(region);
+            }
+            for (auto& item : servers)
+                advance(item);
+            if (now.count % 100 == 0) report();
+        }
+    }
+
+    endpoint_request request_for(std::uint32_t object) const {
+        endpoint_request made;
+        made.route = &route;
+        made.service = "s";
+        made.object = object;
+        made.left = time_ms{4000};
+        return made;
+    }
+
+    void arrive(std::size_t region) {
+        std::size_t index = 0;
+        do {
+            index = std::uniform_int_distribution<std::size_t>(0, vms.size() - 1)(random);
+        } while (vms[index]->region != region || vms[index]->paused);
+        auto& sender = *vms[index];
+        const auto object =
+            static_cast<std::uint32_t>(1000 * region + std::uniform_int_distribution<int>(1, 120)(random));
+        const auto request = request_for(object);
+        ++asked;
+        const auto choice = sender.selector.choose(now, request, nullptr);
+        if (choice.limited_regions > 0) ++limited;
+        if (choice.endpoint == nullptr) return;
+        const auto e = std::stoul(choice.endpoint->registration.id.value);
+        sender.selector.on_send(now, *choice.endpoint, request, nullptr);
+        const auto delay = servers[e].region == region ? time_ms{1} : cross_region_delay;
+        if (servers[e].lost) {
+            sender.selector.on_end(now, *choice.endpoint, request, now, false, attempt_end::unreachable,
+                                   nullptr);
+            return;
+        }
+        if (on_sent) on_sent(region, servers[e].region);
+        servers[e].sent.push_back(now);
+        servers[e].waiting.push_back(
+            {now, now, now + delay, {}, index, sender.incarnation, choice.warm, object});
+    }
+
+    void advance(server& current) {
+        for (auto at = current.running.begin(); at != current.running.end();) {
+            if (at->finish > now) {
+                ++at;
+                continue;
+            }
+            auto& sender = *vms[at->vm];
+            if (sender.incarnation == at->incarnation) answer(sender, current, *at);
+            at = current.running.erase(at);
+        }
+        while (current.running.size() < slots && !current.waiting.empty() &&
+               current.waiting.front().arrives <= now) {
+            auto next = current.waiting.front();
+            current.waiting.pop_front();
+            next.finish = now + (current.warm.has(next.object) ? warm_time : cold_time);
+            current.warm.add(next.object);
+            current.running.push_back(next);
+        }
+    }
+
+    void answer(vm& sender, const server& from, const job& done) {
+        auto& endpoint = *sender.registry.find(std::to_string(&from - servers.data()));
+        endpoint.limit.on_answer(now, from.limit);
+        sender.selector.on_end(now, endpoint, request_for(done.object), done.started, done.warm,
+                               attempt_end::answered, nullptr);
+        if (now - done.asked <= route.goal) ++in_goal;
+        ++answered;
+    }
+
+    void report() {
+        for (std::size_t from = 0; from < vms.size(); ++from) {
+            if (vms[from]->paused) continue;
+            const auto near_report = make_report(from, report_audience::same_region);
+            std::optional<vm_report> far_report;
+            if (now.count % 300 == 0) far_report = make_report(from, report_audience::other_regions);
+            for (std::size_t to = 0; to < vms.size(); ++to) {
+                const bool same_region = vms[to]->region == vms[from]->region;
+                if (to == from || vms[to]->paused || (!same_region && !far_report)) continue;
+                if (report_loss > 0 && std::bernoulli_distribution(report_loss)(random)) continue;
+                deliver(*vms[to], same_region ? near_report : *far_report, same_region);
+            }
+        }
+    }
+
+    [[nodiscard]] vm_report make_report(std::size_t from, report_audience audience) {
+        vm_report made;
+        made.vm = {"vm-" + std::to_string(from)};
+        made.incarnation = incarnation_id{vms[from]->incarnation};
+        vms[from]->registry.fill(made, audience);
+        vms[from]->registry.clear_unreported(audience);
+        if (audience == report_audience::same_region) vms[from]->selector.shift_limiter().fill(made);
+        return made;
+    }
+
+    void deliver(vm& to, const vm_report& message, bool same_region) const {
+        to.registry.on_report(message.vm.value, message);
+        if (same_region) to.selector.shift_limiter().on_report(now, message);
+    }
+
+    time_ms now{0};
+    std::mt19937_64 random;
+    double max_shift;
+    bool common_choices;
+    /// Share of the reports that are lost.
+    double report_loss = 0;
+    host_route route;
+    std::unordered_map<std::string, std::string> zones;
+    std::uint64_t processes = 0;
+    std::vector<std::unique_ptr<vm>> vms;
+    std::vector<server> servers;
+    /// Called for each request with the region of its VM and that of its endpoint.
+    std::function<void(std::size_t from, std::size_t to)> on_sent;
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    std::size_t in_goal = 0;
+    /// Requests for which a region was left out.
+    std::size_t limited = 0;
+};
+
+} // namespace lacewing::testing
--- a/tests/region_shift_limiter_test.cpp
+++ b/tests/region_shift_limiter_test.cpp
@@ -1,19 +1,15 @@
-#include "coordination/endpoint_registry.h"
-#include "coordination/endpoint_selector.h"
 #include "coordination/region_shift_limiter.h"
+#include "endpoint_fleet.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
-#include <deque>
-#include <map>
-#include <memory>
 #include <random>
-#include <string>
 #include <vector>
 
 using namespace lacewing;
+using namespace lacewing::testing;
 
 namespace {
 
@@ -63,167 +59,12 @@
     std::vector<std::array<int, 3>> buckets_;
 };
 
-/// Three regions with endpoints of three slots. The first region has a sixth of the endpoints and the same
-/// traffic as the others. The VMs of a region report to each other every 100 ms, those of other regions every
-/// 300 ms.
-struct region_short_of_slots {
-    static constexpr std::size_t regions = 3;
-    static constexpr std::array<std::size_t, regions> endpoints{10, 25, 25};
-    static constexpr time_ms cross_region_delay{110};
-
-    struct job {
-        time_ms asked{0};
-        time_ms started{0};
-        time_ms arrives{0};
-        time_ms finish{0};
-        std::size_t vm = 0;
-        bool warm = false;
-        std::uint32_t object = 0;
-    };
-    struct server {
-        std::vector<job> running;
-        std::deque<job> waiting;
-        recent_objects warm;
-        std::size_t region = 0;
-        bool lost = false;
-    };
-    struct vm {
-        vm(std::size_t home, const std::unordered_map<std::string, std::string>& zones, double limit)
-            : region(home), registry(zones),
-              selector(registry, "z" + std::to_string(home), "r" + std::to_string(home), home + 1, limit) {}
-        std::size_t region;
-        endpoint_registry registry;
-        endpoint_selector selector;
-    };
-
-    region_short_of_slots(std::size_t vms_per_region, double limit, std::uint64_t seed)
-        : random(seed), shift_limit(limit) {
-        for (std::size_t region = 0; region < regions; ++region)
-            zones["z" + std::to_string(region)] = "r" + std::to_string(region);
-        route.name = {"r"};
-        route.goal = time_ms{600};
-        route.affinity = true;
-        route.parts = {{"s", 1}};
-        for (std::size_t i = 0; i < vms_per_region * regions; ++i)
-            add_vm(i % regions);
-        for (std::size_t region = 0; region < regions; ++region) {
-            for (std::size_t i = 0; i < endpoints.at(region); ++i)
-                add_server(region);
-        }
-    }
-
-    void add_vm(std::size_t region) {
-        vms.push_back(std::make_unique<vm>(region, zones, shift_limit));
-        for (std::size_t e = 0; e < servers.size(); ++e)
-            register_server(*vms.back(), e);
-        for (auto& item : vms)
-            item->selector.fleet = vms.size();
-    }
-
-    void add_server(std::size_t region) {
-        servers.emplace_back();
-        servers.back().region = region;
-        for (auto& item : vms)
-            register_server(*item, servers.size() - 1);
-    }
-
-    void register_server(vm& target, std::size_t e) {
-        endpoint_registration made;
-        made.id = {std::to_string(e)};
-        made.service = "s";
-        made.address = "10.0.0.1:" + std::to_string(1000 + e);
-        made.zone = {"z" + std::to_string(servers[e].region)};
-        made.version = "v1";
-        made.slots = 3;
-        made.revision = e + 1;
-        target.registry.put(now, made);
-    }
-
-    void run(time_ms span, double per_s_and_region) {
-        const auto end = now + span;
-        for (; now < end; now += time_ms{1}) {
-            for (std::size_t region = 0; region < regions; ++region) {
-                if (std::bernoulli_distribution(per_s_and_region / 1000)(random)) arrive(region);
-            }
-            for (auto& item : servers)
-                advance(item);
-            if (now.count % 100 == 0) report();
-        }
-    }
-
-    endpoint_request request_for(std::uint32_t object) const {
-        endpoint_request made;
-        made.route = &route;
-        made.service = "s";
-        made.object = object;
-        made.left = time_ms{4000};
-        return made;
-    }
-
-    void arrive(std::size_t region) {
-        std::size_t index = 0;
-        do {
-            index = std::uniform_int_distribution<std::size_t>(0, vms.size() - 1)(random);
-        } while (vms[index]->region != region);
-        auto& sender = *vms[index];
-        const auto object =
-            static_cast<std::uint32_t>(1000 * region + std::uniform_int_distribution<int>(1, 120)(random));
-        const auto request = request_for(object);
-        ++asked;
-        const auto choice = sender.selector.choose(now, request, nullptr);
-        if (choice.limited_regions > 0) ++limited;
-        if (choice.endpoint == nullptr) return;
-        const auto e = std::stoul(choice.endpoint->registration.id.value);
-        sender.selector.on_send(now, *choice.endpoint, request, nullptr);
-        const auto delay = servers[e].region == region ? time_ms{1} : cross_region_delay;
-        if (servers[e].lost) {
-            sender.selector.on_end(now, *choice.endpoint, request, now, false, attempt_end::unreachable,
-                                   nullptr);
-            return;
-        }
-        meters.at(region).on_request(now, servers[e].region);
-        servers[e].waiting.push_back({now, now, now + delay, {}, index, choice.warm, object});
-    }
-
-    void advance(server& current) {
-        for (auto at = current.running.begin(); at != current.running.end();) {
-            if (at->finish > now) {
-                ++at;
-                continue;
-            }
-            auto& sender = *vms[at->vm];
-            const auto id = std::to_string(&current - servers.data());
-            sender.selector.on_end(now, *sender.registry.find(id), request_for(at->object), at->started,
-                                   at->warm, attempt_end::answered, nullptr);
-            if (now - at->asked <= route.goal) ++in_goal;
-            ++answered;
-            at = current.running.erase(at);
-        }
-        while (current.running.size() < 3 && !current.waiting.empty() &&
-               current.waiting.front().arrives <= now) {
-            auto next = current.waiting.front();
-            current.waiting.pop_front();
-            next.finish = now + (current.warm.has(next.object) ? time_ms{250} : time_ms{840});
-            current.warm.add(next.object);
-            current.running.push_back(next);
-        }
-    }
-
-    void report() {
-        for (std::size_t from = 0; from < vms.size(); ++from) {
-            vm_report message;
-            message.vm = {"vm-" + std::to_string(from)};
-            message.incarnation = incarnation_id{from + 1};
-            vms[from]->registry.fill(message, report_audience::same_region);
-            vms[from]->registry.clear_unreported(report_audience::same_region);
-            vms[from]->selector.shift_limiter().fill(message);
-            for (std::size_t to = 0; to < vms.size(); ++to) {
-                const bool same_region = vms[to]->region == vms[from]->region;
-                if (to == from || (!same_region && now.count % 300 != 0)) continue;
-                vms[to]->registry.on_report(message.vm.value, message);
-                if (same_region) vms[to]->selector.shift_limiter().on_report(now, message);
-            }
-        }
+/// A fleet whose first region has the same traffic as the others and fewer endpoints.
+struct region_short_of_slots : endpoint_fleet {
+    region_short_of_slots(std::size_t vms_per_region, double limit, std::uint64_t seed,
+                          bool common_choices = true)
+        : endpoint_fleet({{10, 25, 25}, vms_per_region, limit, seed, common_choices}) {
+        on_sent = [this](std::size_t from, std::size_t to) { meters.at(from).on_request(now, to); };
     }
 
     [[nodiscard]] double largest_shift(time_ms from) const {
@@ -233,25 +74,34 @@
         return largest;
     }
 
-    time_ms now{0};
-    std::mt19937_64 random;
-    double shift_limit;
-    host_route route;
-    std::unordered_map<std::string, std::string> zones;
-    std::vector<std::unique_ptr<vm>> vms;
-    std::vector<server> servers;
     std::array<shift_meter, regions> meters;
-    std::size_t asked = 0;
-    std::size_t answered = 0;
-    std::size_t in_goal = 0;
-    /// Requests for which a region was left out.
-    std::size_t limited = 0;
 };
 
 std::vector<region_capacity> both_regions() {
     return {{region_a, 3, 0}, {region_b, 3, 0}};
 }
 
+// Checks the limit at the start of traffic, in a rush and after endpoints have joined.
+void check_shifts(region_short_of_slots& fleet) {
+    // 180 slots and 250 ms: 720 warm requests a second, of which 120 in the first region.
+    fleet.run(time_ms{8000}, 150);
+    const double shift_at_start = fleet.largest_shift(time_ms{0});
+    fleet.run(time_ms{6000}, 240);
+    const double shift_in_rush = fleet.largest_shift(time_ms{6000});
+    fleet.run(time_ms{6000}, 60);
+    for (int i = 0; i < 20; ++i)
+        fleet.add_server(0);
+    fleet.run(time_ms{6000}, 200);
+    const double shift_with_joined = fleet.largest_shift(time_ms{14'000});
+    MESSAGE("start " << shift_at_start << ", rush " << shift_in_rush << ", joined " << shift_with_joined
+                     << "; answered " << fleet.answered << ", in goal " << fleet.in_goal << " of "
+                     << fleet.asked);
+    CHECK(fleet.limited > 0);
+    CHECK(shift_at_start <= max_shift);
+    CHECK(shift_in_rush <= max_shift);
+    CHECK(shift_with_joined <= max_shift);
+}
+
 } // namespace
 
 TEST_CASE("region shift: requests leave their region at once when it is full") {
@@ -378,27 +228,20 @@
             CAPTURE(seed);
             CAPTURE(vms_per_region);
             region_short_of_slots fleet(vms_per_region, max_shift, seed);
-            // 180 slots and 250 ms: 720 warm requests a second, of which 120 in the first region.
-            fleet.run(time_ms{8000}, 150);
-            const double shift_at_start = fleet.largest_shift(time_ms{0});
-            fleet.run(time_ms{6000}, 240);
-            const double shift_in_rush = fleet.largest_shift(time_ms{6000});
-            fleet.run(time_ms{6000}, 60);
-            for (int i = 0; i < 20; ++i)
-                fleet.add_server(0);
-            fleet.run(time_ms{6000}, 200);
-            const double shift_with_joined = fleet.largest_shift(time_ms{14'000});
-            MESSAGE("start " << shift_at_start << ", rush " << shift_in_rush << ", joined "
-                             << shift_with_joined << "; answered " << fleet.answered << ", in goal "
-                             << fleet.in_goal << " of " << fleet.asked);
-            CHECK(fleet.limited > 0);
-            CHECK(shift_at_start <= max_shift);
-            CHECK(shift_in_rush <= max_shift);
-            CHECK(shift_with_joined <= max_shift);
+            check_shifts(fleet);
         }
     }
 }
 
+// The VMs of the users' platform draw their seeds independently.
+TEST_CASE("region short of slots: many VMs that choose independently exceed the limit") {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        region_short_of_slots fleet(10, max_shift, seed, false);
+        check_shifts(fleet);
+    }
+}
+
 TEST_CASE("region short of slots: a VM that starts sends by its first guess") {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         CAPTURE(seed);
