Reproduce endpoints that get more requests than their limit

Cause: nothing compares the requests of all VMs with the limit that an endpoint names. The two counts of events in a window are one function now.

--- a/tests/account_limiter_test.cpp
+++ b/tests/account_limiter_test.cpp
@@ -1,9 +1,9 @@
 #include "coordination/account_limiter.h"
+#include "sliding_window.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <deque>
 #include <random>
 #include <utility>
 #include <vector>
@@ -80,15 +80,7 @@
 
     // Largest number of admissions in any window of 5 s.
     [[nodiscard]] std::size_t most_in_window() const {
-        std::size_t most = 0;
-        std::deque<time_ms> window;
-        for (const auto at : admitted) {
-            window.push_back(at);
-            while (at - window.front() >= time_ms{5000})
-                window.pop_front();
-            most = std::max(most, window.size());
-        }
-        return most;
+        return testing::most_in_window(admitted, time_ms{5000});
     }
 
     time_ms now{1'000'000};
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -256,6 +256,7 @@
                                 std::string(request.target()), request.body().size());
     answer.set(names.attempt_id, request[names.attempt_id]);
     answer.set(names.load, "1,0,8");
+    if (named_limit > 0) answer.set(names.limit, fmt::format("{:.1f}", named_limit.load()));
     co_return answer;
 }
 
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -44,6 +44,8 @@
     [[nodiscard]] int execution_count(const std::string& id);
     /// @brief Time in ms that an endpoint takes for one request.
     std::atomic<int> service_ms{5};
+    /// @brief Requests per second that endpoints name as their limit; 0 for none.
+    std::atomic<double> named_limit{0};
     /// @brief Endpoints of this version answer 500.
     std::string failing_version;
 
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -2,7 +2,9 @@
 // endpoints.
 #include "platform_stand_in.h"
 
+#include "../sliding_window.h"
 #include "platform/dialect.h"
+#include "transport/monotonic_clock.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -208,3 +210,42 @@
         if (!good) CHECK(platform.execution_count("new") <= request_count / 10 + 50);
     }
 }
+
+// Regression test of the incident of 2026-12-04, with real processes.
+TEST_CASE("platform: two VMs and a restarted one together exceed the limit that an endpoint names") {
+    constexpr double limit = 5;
+    constexpr time_ms window{4000};
+    constexpr double allowed_in_window = 1.5 * limit * 4 + 5;
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "secret"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    std::vector<time_ms> served;
+    const auto send_until = [&](time_ms end) {
+        for (std::size_t count = 0; monotonic_now() < end; ++count) {
+            const auto sent = monotonic_now();
+            const auto answer =
+                send_request(platform.caller_address(count % 2), "GET", "/read/x", request_headers("l"));
+            if (answer.status == 200) served.push_back(sent);
+        }
+    };
+    platform.named_limit = limit;
+    // The limit binds from 4 s after it was first named.
+    send_until(monotonic_now() + time_ms{4000});
+    served.clear();
+    send_until(monotonic_now() + time_ms{5000});
+    platform.vm_process(1).signal(SIGKILL);
+    platform.vm_process(1).wait(time_ms{2000});
+    platform.start_vm(1);
+    REQUIRE(platform.wait_all_ready());
+    send_until(monotonic_now() + time_ms{4000});
+    CHECK(static_cast<double>(most_in_window(served, window)) <= allowed_in_window);
+    CHECK_FALSE(served.empty());
+    // The limit ends with the first answer that names none.
+    platform.named_limit = 0;
+    served.clear();
+    CHECK(wait_until([&] {
+        send_until(monotonic_now() + time_ms{100});
+        return static_cast<double>(most_in_window(served, time_ms{1000})) > 5 * limit;
+    }));
+}
