Extract the fleet-wide token bucket from the account limiter

Cause: the limits that endpoints name are a rate that all VMs share, as the rates of accounts are; the bucket was bound to accounts. Change: fleet_token_bucket holds the estimate, the shares by demand and the charges for silent VMs; account_limiter keeps one for each account. No behaviour changes.

--- a/src/coordination/account_limiter.h
+++ b/src/coordination/account_limiter.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "coordination/fleet_token_bucket.h"
 #include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,21 +12,9 @@
 
 namespace lacewing {
 
-/// @brief Fleet-wide rate limit of each account [INV-4], applied without a call to another VM per request.
-///
-/// Every VM keeps an estimate of one fleet-wide token bucket per account. It subtracts its own admissions at
-/// once and those of other VMs when their reports arrive. While the estimated bucket is at least half full,
-/// any VM admits. Below that, a VM admits only from its share of the refill, which follows its share of the
-/// demand, so that VMs whose reports are still on the way cannot all give out the same token. A VM that stops
-/// reporting is assumed to go on admitting at its last rate for a limited time.
+/// @brief Fleet-wide rate limit of each account [INV-4], as one fleet_token_bucket per account.
 class account_limiter {
 public:
-    /// Fraction of its proportional share that a minority of VMs gives out during a network partition, and
-    /// fraction of the silent VMs' share that the majority reserves for them. If 35 % of the VMs are cut off,
-    /// both sides together give out 1.04 of the rate, within the 10 % by which it may be exceeded.
-    static constexpr double minority_fraction = 0.5;
-    static constexpr double reserved_fraction = 0.4;
-
     /// Result of a request for admission.
     struct decision {
         bool admitted = true;
@@ -53,51 +41,12 @@
     void set_fleet(std::size_t known_vms, std::size_t heard_vms, bool in_majority);
     /// @brief Totals for the report of this VM.
     /// @param all Include accounts that are far from their limit.
-    [[nodiscard]] std::vector<std::pair<std::string, account_usage>> usage(bool all) const;
+    [[nodiscard]] std::vector<std::pair<std::string, rate_usage>> usage(bool all) const;
 
 private:
-    /// Usage of an account by another VM, from its reports.
-    struct peer_usage {
-        incarnation_id incarnation;
-        account_usage totals;
-        double asked_per_s = 0;
-        double admitted_per_s = 0;
-        /// Admissions assumed since the last report, because the VM has fallen silent.
-        double assumed_admissions = 0;
-        /// The rates have been measured between two reports.
-        bool rates_measured = false;
-        /// Time of the last report.
-        time_ms updated{0};
-    };
-    struct bucket {
-        double rate = 0;
-        double burst = 0;
-        /// Estimate of the tokens in the fleet-wide bucket; negative when more than the tokens were given
-        /// out.
-        double level = 0;
-        /// Tokens from this VM's share of the refill, which only this VM may use.
-        double own_tokens = 0;
-        time_ms updated{0};
-        /// Totals of this VM.
-        account_usage own;
-        /// Totals at the last measurement of the demand.
-        account_usage own_at_measurement;
-        /// Smoothed demand at this VM.
-        double asked_per_s = 0;
-        time_ms measured_at{0};
-        std::map<std::string, peer_usage> peers;
-    };
-
-    void refill(time_ms now, bucket& entry) const;
-    static void charge_silent_peers(time_ms now, bucket& entry);
-    [[nodiscard]] double usable_rate_fraction() const;
-    [[nodiscard]] double demand_share(time_ms now, const bucket& entry) const;
-
     bool fleet_start_;
-    std::size_t known_vms_ = 1;
-    std::size_t heard_vms_ = 1;
-    bool in_majority_ = true;
-    std::unordered_map<std::string, bucket> buckets_;
+    fleet_coverage coverage_;
+    std::unordered_map<std::string, fleet_token_bucket> buckets_;
 };
 
 } // namespace lacewing
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -25,8 +25,8 @@
 /// Number of values of report_audience.
 inline constexpr std::size_t report_audiences = 2;
 
-/// @brief Requests of one account at one VM since the start of its process.
-struct account_usage {
+/// @brief Requests under one fleet-wide rate limit at one VM since the start of its process.
+struct rate_usage {
     /// Requests that asked for admission.
     std::int64_t asked = 0;
     std::int64_t admitted = 0;
@@ -68,7 +68,7 @@
     /// Totals of requests by region; only in reports to the same region.
     std::vector<region_send_total> region_sends;
     /// Totals of requests by account.
-    std::vector<std::pair<std::string, account_usage>> usage;
+    std::vector<std::pair<std::string, rate_usage>> usage;
     /// Outcomes by "service/version/route" while a version move is under way.
     std::vector<std::pair<std::string, version_tally>> outcomes;
     /// Share (0 to 1) of a service's requests that goes to the target version of a move, set by the VM that
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -145,7 +145,7 @@
     const auto& usage = params["use"];
     for (Json::ArrayIndex i = 0; i + 2 < usage.size(); i += 3) {
         report.usage.emplace_back(usage[i].asString(),
-                                  account_usage{usage[i + 1].asInt64(), usage[i + 2].asInt64()});
+                                  rate_usage{usage[i + 1].asInt64(), usage[i + 2].asInt64()});
     }
 }
 
