Keep the usage of other VMs out of the fleet-wide token bucket

Change: fleet_token_bucket holds tokens only; account_limiter keeps the totals of the VMs as before, and a smoothed rate is a class of its own, demand_meter.

--- a/src/coordination/account_limiter.h
+++ b/src/coordination/account_limiter.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "coordination/demand_meter.h"
 #include "coordination/fleet_token_bucket.h"
 #include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,8 +15,17 @@
 namespace lacewing {
 
 /// @brief Fleet-wide rate limit of each account [INV-4], as one fleet_token_bucket per account.
+///
+/// The share of a VM in the refill follows its share of the demand. A VM that stops reporting is assumed to
+/// go on admitting at its last rate for a limited time.
 class account_limiter {
 public:
+    /// Fraction of its proportional share that a minority of VMs gives out during a network partition, and
+    /// fraction of the silent VMs' share that the majority reserves for them. If 35 % of the VMs are cut off,
+    /// both sides together give out 1.04 of the rate, within the 10 % by which it may be exceeded.
+    static constexpr double minority_fraction = 0.5;
+    static constexpr double reserved_fraction = 0.4;
+
     /// Result of a request for admission.
     struct decision {
         bool admitted = true;
@@ -44,9 +55,40 @@
     [[nodiscard]] std::vector<std::pair<std::string, rate_usage>> usage(bool all) const;
 
 private:
+    /// Usage of an account by another VM, from its reports.
+    struct peer_usage {
+        incarnation_id incarnation;
+        rate_usage totals;
+        double asked_per_s = 0;
+        double admitted_per_s = 0;
+        /// Admissions assumed since the last report, because the VM has fallen silent.
+        double assumed_admissions = 0;
+        /// The rates have been measured between two reports.
+        bool rates_measured = false;
+        /// Time of the last report.
+        time_ms updated{0};
+    };
+    struct account_bucket {
+        explicit account_bucket(time_ms now, double level) : tokens(now, level), demand(now) {}
+        fleet_token_bucket tokens;
+        /// Totals of this VM.
+        rate_usage own;
+        /// Demand at this VM.
+        demand_meter demand;
+        /// Usage by other VMs, by name.
+        std::map<std::string, peer_usage> peers;
+    };
+
+    void refill(time_ms now, account_bucket& entry) const;
+    static void charge_silent_peers(time_ms now, account_bucket& entry);
+    [[nodiscard]] double usable_rate_fraction() const;
+    [[nodiscard]] double demand_share(time_ms now, const account_bucket& entry) const;
+
     bool fleet_start_;
-    fleet_coverage coverage_;
-    std::unordered_map<std::string, fleet_token_bucket> buckets_;
+    std::size_t known_vms_ = 1;
+    std::size_t heard_vms_ = 1;
+    bool in_majority_ = true;
+    std::unordered_map<std::string, account_bucket> buckets_;
 };
 
 } // namespace lacewing
