Divide the limit that an endpoint names between all VMs

Callers saw nothing; endpoints that named a limit got two to three times of it from all VMs together. Cause: the limit was not used, and no VM could keep it alone: each was within it, their sum was not. A limit over the whole fleet that every VM reads for itself belongs to the class of shared budgets without an owner. Change: endpoint_limit keeps one fleet-wide bucket for each limited endpoint. VMs report their use and demand since the last report, and the VM with the latest answer reports the limit. An endpoint without a token counts as full.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -54,6 +54,12 @@
     if (registration.warmup_left > time_ms{0}) {
         entry->cold_until = now + registration.warmup_left + cold_margin;
     }
+    const auto removed = removed_limits_.find(registration.id.value);
+    if (removed != removed_limits_.end()) {
+        if (removed->second.started_unix_ms == registration.started_unix_ms)
+            entry->limit = removed->second.limit;
+        removed_limits_.erase(removed);
+    }
     by_service_[registration.service].push_back(entry);
     by_tag_[entry->tag] = entry;
 }
@@ -65,6 +71,8 @@
         if (!found->second->expires) found->second->expires = now + outage_grace;
         return;
     }
+    if (found->second->limit.per_s())
+        removed_limits_[id] = {found->second->registration.started_unix_ms, found->second->limit, now};
     detach(*found->second);
     by_id_.erase(found);
 }
@@ -91,6 +99,8 @@
     }
     for (const auto& id : ended)
         remove(now, id, false);
+    std::erase_if(removed_limits_,
+                  [now](const auto& entry) { return now - entry.second.removed > removed_limit_time; });
 }
 
 void endpoint_registry::set_drained_zones(time_ms now, std::set<std::string> zones, time_ms warmup) {
@@ -121,7 +131,7 @@
     }));
 }
 
-void endpoint_registry::fill(vm_report& report, report_audience audience) const {
+void endpoint_registry::fill(time_ms now, vm_report& report, report_audience audience, bool full) const {
     const auto index = static_cast<std::size_t>(audience);
     for (const auto& [id, state] : by_id_) {
         if (!state->in_flight.empty()) {
@@ -129,15 +139,26 @@
         }
         const auto& objects = state->unreported_objects[index];
         if (!objects.empty()) report.objects.emplace_back(state->tag, objects);
+        if (auto limit = state->limit.report(now, audience, full)) {
+            limit->endpoint = state->tag;
+            report.limits.push_back(*limit);
+        }
     }
 }
 
 void endpoint_registry::clear_unreported(report_audience audience) {
-    for (const auto& [id, state] : by_id_)
+    for (const auto& [id, state] : by_id_) {
         state->unreported_objects[static_cast<std::size_t>(audience)].clear();
+        state->limit.clear_unreported(audience);
+    }
 }
 
-void endpoint_registry::on_report(const std::string& vm, const vm_report& report) {
+void endpoint_registry::on_limit(time_ms now, endpoint_state& endpoint, std::optional<double> per_s) {
+    const auto before = endpoint.limit.current();
+    if (endpoint.limit.on_answer(now, per_s) && on_limit_change) on_limit_change(now, endpoint, before, {});
+}
+
+void endpoint_registry::on_report(time_ms now, const std::string& vm, const vm_report& report) {
     auto& known = reported_in_flight_[vm];
     for (const auto& [tag, count] : known) {
         const auto found = by_tag_.find(tag);
@@ -150,6 +171,13 @@
         const auto found = by_tag_.find(tag);
         if (found != by_tag_.end()) found->second->others_in_flight_by_vm_reports += count;
     }
+    for (const auto& limit : report.limits) {
+        const auto found = by_tag_.find(limit.endpoint);
+        if (found == by_tag_.end()) continue;
+        const auto before = found->second->limit.current();
+        if (found->second->limit.on_report(now, limit) && on_limit_change)
+            on_limit_change(now, *found->second, before, vm);
+    }
     for (const auto& [tag, objects] : report.objects) {
         const auto found = by_tag_.find(tag);
         if (found == by_tag_.end()) continue;
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -8,12 +8,14 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -93,6 +95,8 @@
     static constexpr time_ms outage_grace{1900};
     /// Added to the remaining warm-up time that an endpoint registers, for the delay of the registration.
     static constexpr time_ms cold_margin{500};
+    /// The limit of a removed endpoint is kept for this long, in case the same process registers again.
+    static constexpr time_ms removed_limit_time{30'000};
 
     explicit endpoint_registry(std::unordered_map<std::string, std::string> zone_regions)
         : zone_regions_(std::move(zone_regions)) {}
@@ -126,13 +130,22 @@
     /// @brief Number of endpoints with a limit in force.
     [[nodiscard]] std::size_t limited_endpoint_count() const;
 
-    /// @brief Adds the requests of this VM in flight and the objects that it has sent to its report.
-    void fill(vm_report& report, report_audience audience) const;
-    /// @brief Clears the objects that have been reported to an audience.
+    /// @brief Adds the requests of this VM in flight, the objects that it has sent and the limits of
+    /// endpoints to its report.
+    /// @param full Include limits that have not changed lately.
+    void fill(time_ms now, vm_report& report, report_audience audience, bool full) const;
+    /// @brief Clears the objects, and the uses of limits, that have been reported to an audience.
     void clear_unreported(report_audience audience);
-    /// @brief Replaces the requests in flight that a VM reported before, and adds the objects that it has
-    /// sent.
-    void on_report(const std::string& vm, const vm_report& report);
+    /// @brief Replaces the requests in flight that a VM reported before, adds the objects that it has sent,
+    /// and records what it knows of limits.
+    void on_report(time_ms now, const std::string& vm, const vm_report& report);
+    /// @brief Records the limit that an answer of an endpoint names, or that it names none.
+    void on_limit(time_ms now, endpoint_state& endpoint, std::optional<double> per_s);
+    /// @brief Called when the limit of an endpoint has changed, with the period before and the VM that got
+    /// the answer; empty for this VM.
+    std::function<void(time_ms now, const endpoint_state& endpoint, const endpoint_limit::period& before,
+                       std::string_view source)>
+        on_limit_change;
 
 private:
     /// @brief Removes an endpoint from the indexes by service and by tag.
@@ -145,6 +158,14 @@
     // Last reported requests in flight by VM, as pairs of endpoint tag and count.
     std::map<std::string, std::vector<std::pair<std::uint32_t, int>>> reported_in_flight_;
     std::set<std::string> drained_zones_;
+    /// Limit of an endpoint whose registration was removed.
+    struct removed_limit {
+        std::int64_t started_unix_ms = 0;
+        endpoint_limit limit;
+        time_ms removed{0};
+    };
+    // By id. A registration that lapsed in a store outage comes back while the process goes on.
+    std::unordered_map<std::string, removed_limit> removed_limits_;
 };
 
 } // namespace lacewing
--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -221,14 +221,33 @@
     const auto found = std::find_if(candidates_.begin(), candidates_.end(),
                                     [region](const auto& item) { return item.region == region; });
     if (found != candidates_.end()) return *found;
-    candidates_.push_back({region, {}, 0, 0, {region, 0, 0}});
+    candidates_.push_back({region, {}, 0, 0, 0, {region, 0, 0}});
     return candidates_.back();
 }
 
+// Marks a candidate as full whose limit admits no request of this VM now.
+void endpoint_selector::apply_limit(time_ms now, scored& candidate) {
+    auto& limit = candidate.endpoint->limit;
+    if (candidate.full || !limit.per_s()) return;
+    if (limit.admits(now, fleet, std::uniform_real_distribution<double>(0, 1)(random_))) return;
+    candidate.full = true;
+    if (held_back_.count++ > 0 && held_back_.cost <= candidate.cost) return;
+    held_back_.best = candidate.endpoint;
+    held_back_.cost = candidate.cost;
+}
+
+// Slots that are busy while an endpoint gets as many requests as it takes.
+double endpoint_selector::slots_within_limit(const endpoint_state& endpoint, const service_times& times) {
+    const auto slots = static_cast<double>(endpoint.registration.slots);
+    const auto limit = endpoint.limit.per_s();
+    return limit ? std::min(slots, *limit * times.mean_ms / 1000) : slots;
+}
+
 // Finds the best usable endpoint of each region.
 void endpoint_selector::collect_candidates(time_ms now, const endpoint_request& request,
                                            const backend_service* service, const service_times& times) {
     candidates_.clear();
+    held_back_ = {};
     const std::uint64_t hash_input = request.object != 0 ? request.object : random_();
     for (const auto& endpoint : registry_.endpoints_of_service(std::string(request.service))) {
         decay(now, *endpoint);
@@ -243,12 +262,14 @@
         candidates.own_in_flight += static_cast<double>(endpoint->in_flight.size());
         candidates.load += current_load(now, *endpoint);
         candidates.capacity.usable_slots += slots;
+        candidates.slots_within_limits += slots_within_limit(*endpoint, times);
         auto scored_endpoint = score(now, endpoint, request, times);
         scored_endpoint.full = current_load(now, *endpoint) >= slots * (1 + max_waiting_per_slot);
         scored_endpoint.cost += preference_cost_ms(*endpoint, hash_input);
         // An endpoint that has never got a request is tried soon, so that it gets its share.
         if (endpoint->sent_count == 0 && scored_endpoint.wait_ms == 0)
             scored_endpoint.cost *= never_used_cost_factor;
+        apply_limit(now, scored_endpoint);
         auto& best = candidates.best;
         // A full endpoint is kept only to compute when a refused caller should try again.
         if (!best ||
@@ -284,10 +305,14 @@
     for (auto& item : candidates_) {
         total.own_in_flight += item.own_in_flight;
         total.load += item.load;
-        total.slots += item.capacity.usable_slots;
+        total.slots += item.slots_within_limits;
         if (!best || std::pair(item.best->full, item.best->cost) < std::pair(best->full, best->cost))
             best = std::move(item.best);
     }
+    choice.limited_endpoints = held_back_.count;
+    // The demand for a limited endpoint decides which part of its limit this VM gets.
+    if (held_back_.best != nullptr && (!best || best->full || held_back_.cost < best->cost))
+        held_back_.best->limit.on_held_back();
     if (!best) {
         choice.no_usable_endpoint = true;
         choice.retry_after = no_usable_endpoint_retry_after;
@@ -360,6 +385,7 @@
     const auto found = std::find(endpoint.in_flight.begin(), endpoint.in_flight.end(), started);
     if (found != endpoint.in_flight.end()) endpoint.in_flight.erase(found);
     decay(now, endpoint);
+    if (outcome == attempt_end::unreachable) endpoint.limit.on_unsent();
     if (outcome == attempt_end::abandoned) return;
     const bool failed = outcome != attempt_end::answered;
     const double failure_weight = outcome == attempt_end::not_run ? 0.5 : failed ? 1.0 : 0.0;
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -63,6 +63,8 @@
     bool no_usable_endpoint = false;
     /// Regions with a usable endpoint that the limit on shifts between regions left out.
     std::size_t limited_regions = 0;
+    /// Usable endpoints that take no further request now, because of the limits that they have named.
+    std::size_t limited_endpoints = 0;
 };
 
 /// @brief How an attempt at an endpoint ended, by what it says about the endpoint.
@@ -136,9 +138,17 @@
         double expected_ms = 0;
         /// Probability that the object is warm at the endpoint.
         double warm_probability = 0;
-        /// All slots are busy and max_waiting_per_slot requests wait per slot.
+        /// All slots are busy and max_waiting_per_slot requests wait per slot, or the endpoint's limit admits
+        /// no request now.
         bool full = false;
     };
+    /// Endpoints that only their limits keep from a request.
+    struct held_back_endpoints {
+        std::size_t count = 0;
+        /// The one of lowest cost.
+        std::shared_ptr<endpoint_state> best;
+        double cost = 0;
+    };
 
     /// The usable endpoints of one region for a request.
     struct region_candidates {
@@ -146,6 +156,8 @@
         std::optional<scored> best;
         double own_in_flight = 0;
         double load = 0;
+        /// Slots that the requests within the endpoints' limits can use.
+        double slots_within_limits = 0;
         region_capacity capacity;
     };
 
@@ -165,6 +177,8 @@
     [[nodiscard]] service_times times_of(const endpoint_request& request) const;
     scored score(time_ms now, const std::shared_ptr<endpoint_state>& endpoint,
                  const endpoint_request& request, const service_times& times) const;
+    void apply_limit(time_ms now, scored& candidate);
+    static double slots_within_limit(const endpoint_state& endpoint, const service_times& times);
     static double preference_cost_ms(const endpoint_state& endpoint, std::uint64_t hash_input);
     time_ms retry_after(double max_wait_ms, double left_ms);
     static void update_service_times(service_times& times, double taken_ms, bool warm);
@@ -185,6 +199,7 @@
     region_shift_limiter shift_limiter_;
     // Candidates of the request that is being placed, by region; kept between calls to avoid allocation.
     std::vector<region_candidates> candidates_;
+    held_back_endpoints held_back_;
     std::vector<region_capacity> capacities_;
     // Measured network round trips by zone.
     std::unordered_map<std::string, double> round_trips_ms_;
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,6 +33,25 @@
     std::int64_t admitted = 0;
 };
 
+/// @brief What one VM knows of the limit that an endpoint has named, and its use of the endpoint.
+struct endpoint_limit_report {
+    /// Last answer of the endpoint.
+    struct observation {
+        /// Limit in requests per second; nothing when the answer named none.
+        std::optional<double> per_s;
+        /// Time since the answer.
+        time_ms age{0};
+    };
+    /// Tag of the endpoint, by hash_tag().
+    std::uint32_t endpoint = 0;
+    /// Absent when this VM learned of the limit from another VM.
+    std::optional<observation> answer;
+    /// Requests since the last report to the same audience: those that were meant for the endpoint, and those
+    /// that were sent to it. Not totals, so that the receiver keeps no state for each VM; after a lost
+    /// report, other VMs underestimate the use.
+    rate_usage usage;
+};
+
 /// @brief Requests that one VM has sent to the endpoints of one region since the start of its process.
 struct region_send_total {
     /// Tag of the region, by hash_tag().
@@ -69,6 +89,8 @@
     std::vector<region_send_total> region_sends;
     /// Totals of requests by account.
     std::vector<std::pair<std::string, rate_usage>> usage;
+    /// Limited endpoints that the VM has used lately or knows most of.
+    std::vector<endpoint_limit_report> limits;
     /// Outcomes by "service/version/route" while a version move is under way.
     std::vector<std::pair<std::string, version_tally>> outcomes;
     /// Share (0 to 1) of a service's requests that goes to the target version of a move, set by the VM that
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,6 +78,23 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+std::string limit_text(std::optional<double> per_s) {
+    return per_s ? fmt::format("{}", *per_s) : "none";
+}
+
+// Logs a new limit of an endpoint with what this VM sent under the one before.
+void log_limit_change(time_ms now, const endpoint_state& endpoint, const endpoint_limit::period& before,
+                      std::string_view source) {
+    log(log_level::warn, "endpoint_limit",
+        {{"endpoint", endpoint.registration.id.value},
+         {"service", endpoint.registration.service},
+         {"per_s", limit_text(endpoint.limit.per_s())},
+         {"from_vm", source},
+         {"previous_per_s", limit_text(before.per_s)},
+         {"previous_ms", before.per_s ? (now - before.begin).count : 0},
+         {"previous_sent", before.sent}});
+}
+
 http_limits internal_limits() {
     http_limits made;
     made.idle_timeout = time_ms{15'000};
@@ -106,6 +123,7 @@
               return flow_.handle(request, std::move(sink));
           }) {
     selector_.owns_cold_endpoint = [this](const std::string& id) { return fleet_.owns(id, monotonic_now()); };
+    registry_.on_limit_change = log_limit_change;
     // Until the fleet is known, two VMs per zone are assumed, so that this VM takes no excessive part of the
     // slack of the repeat budget.
     repeats_.set_fleet(settings.zone_regions.size() * 2);
@@ -302,7 +320,7 @@
     }
     limiter_.on_report(now, report);
     moves_.on_report(now, report);
-    registry_.on_report(report.vm.value, report);
+    registry_.on_report(now, report.vm.value, report);
     // Most reports leave out the region, so it is taken from the VM's last report that had it.
     const auto sender = fleet_.members().find(report.vm.value);
     if (sender != fleet_.members().end() && sender->second.report.region == settings_.region)
@@ -352,7 +370,7 @@
     made.store_reached = mirror_.is_reachable(now);
     if (flow_.routes() != nullptr) made.configuration_version = flow_.routes()->configuration().version;
     if (full || now - revisions_changed_ < revision_repeat_time) made.revisions = mirror_.change_revisions();
-    registry_.fill(made, audience);
+    registry_.fill(monotonic_now(), made, audience, full);
     if (audience == report_audience::same_region) selector_.shift_limiter().fill(made);
     made.usage = limiter_.usage(full);
     moves_.fill(made);
@@ -427,7 +445,7 @@
         limiter_.set_fleet(known, fleet_.alive_vm_count(now), fleet_.in_majority(now));
         if (known > 1) repeats_.set_fleet(known);
         for (const auto& [name, member] : fleet_.members()) {
-            if (!fleet_view::alive(member, now)) registry_.on_report(name, {});
+            if (!fleet_view::alive(member, now)) registry_.on_report(now, name, {});
         }
         if (flow_.routes() == nullptr) continue;
         std::vector<std::string> services;
@@ -533,6 +551,7 @@
     add("lacewing_repeats_total", counted.repeats);
     add("lacewing_callers_left_total", counted.callers_left);
     add("lacewing_refused_by_shift_limit_total", counted.refused_by_shift_limit);
+    add("lacewing_refused_by_endpoint_limits_total", counted.refused_by_endpoint_limits);
     add("lacewing_sent_to_limited_endpoints_total", counted.sent_to_limited_endpoints);
     add("lacewing_limited_endpoints", registry_.limited_endpoint_count());
     for (const auto& row : all_error_answers()) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -258,6 +258,10 @@
         ++counters_.refused_by_shift_limit;
         detail += fmt::format("; {} other regions closed by the limit on shifts", choice.limited_regions);
     }
+    if (choice.limited_endpoints > 0) {
+        ++counters_.refused_by_endpoint_limits;
+        detail += fmt::format("; {} endpoints at the limits that they have named", choice.limited_endpoints);
+    }
     return {error_kind::no_capacity, detail, choice.retry_after};
 }
 
@@ -330,17 +334,7 @@
             {{"endpoint", endpoint.registration.id.value}, {"value", text}, {"count", count}});
         return;
     }
-    const auto now = monotonic_now();
-    const auto before = endpoint.limit;
-    if (!endpoint.limit.on_answer(now, per_s)) return;
-    const auto name = [](std::optional<double> rate) { return rate ? fmt::format("{}", *rate) : "none"; };
-    log(log_level::warn, "endpoint_limit",
-        {{"endpoint", endpoint.registration.id.value},
-         {"service", endpoint.registration.service},
-         {"per_s", name(per_s)},
-         {"previous_per_s", name(before.per_s())},
-         {"previous_ms", before.per_s() ? (now - before.changed_at()).count : 0},
-         {"previous_sent", before.sent()}});
+    registry_.on_limit(monotonic_now(), endpoint, per_s);
 }
 
 // Records the outcome as evidence for or against the endpoint's version.
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -32,6 +32,8 @@
     std::uint64_t callers_left = 0;
     /// Refusals for which another region had an endpoint, beyond the limit on shifts between regions.
     std::uint64_t refused_by_shift_limit = 0;
+    /// Refusals for which another endpoint was usable, beyond the limit that it has named.
+    std::uint64_t refused_by_endpoint_limits = 0;
     /// Sends to endpoints with a limit in force.
     std::uint64_t sent_to_limited_endpoints = 0;
     /// Error answers by error_kind.
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
+#include <limits>
 #include <memory>
 #include <string_view>
 
@@ -22,6 +24,8 @@
 // lists of loads and of objects are one string of base-36 numbers each. A JSON value for each number would
 // take twice the bytes and most of the processor time of receiving a report.
 constexpr int number_base = 36;
+// An older answer is taken for one of this age.
+constexpr std::uint64_t max_answer_age_ms = 3'600'000;
 
 void append_number(std::string& out, std::uint64_t value) {
     // 64 bits have at most 13 digits in base 36.
@@ -40,6 +44,14 @@
     return value;
 }
 
+// As consume_number(), for a total that fits a signed number.
+std::int64_t consume_total(std::string_view& text, char separator) {
+    const auto value = consume_number(text, separator);
+    if (value > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))
+        throw error(error_kind::bad_request, "a total in a peer message is out of range");
+    return static_cast<std::int64_t>(value);
+}
+
 std::string_view string_view_of(const Json::Value& value) {
     const char* begin = nullptr;
     const char* end = nullptr;
@@ -111,6 +123,44 @@
     return out;
 }
 
+// Limits of endpoints: "endpoint answer age asked admitted endpoint answer ...". The answer is 0 if the
+// report has none, 1 if the answer named no limit, and otherwise 2 + the limit in thousandths per second.
+std::string encode_limits(const vm_report& report) {
+    std::string out;
+    for (const auto& limit : report.limits) {
+        std::uint64_t answer = 0;
+        if (limit.answer) {
+            answer = 1;
+            if (limit.answer->per_s)
+                answer = 2 + static_cast<std::uint64_t>(std::llround(*limit.answer->per_s * 1000));
+        }
+        const auto age = limit.answer ? std::max<std::int64_t>(0, limit.answer->age.count) : 0;
+        for (const auto value :
+             {std::uint64_t{limit.endpoint}, answer, static_cast<std::uint64_t>(age),
+              static_cast<std::uint64_t>(std::max<std::int64_t>(0, limit.usage.asked)),
+              static_cast<std::uint64_t>(std::max<std::int64_t>(0, limit.usage.admitted))}) {
+            if (!out.empty()) out += ' ';
+            append_number(out, value);
+        }
+    }
+    return out;
+}
+
+void decode_limits(const Json::Value& params, vm_report& report) {
+    auto text = string_view_of(params["lim"]);
+    while (!text.empty()) {
+        endpoint_limit_report limit;
+        limit.endpoint = static_cast<std::uint32_t>(consume_number(text, ' '));
+        const auto answer = consume_number(text, ' ');
+        const auto age = std::min(consume_number(text, ' '), max_answer_age_ms);
+        if (answer > 0) limit.answer = {std::nullopt, time_ms{static_cast<std::int64_t>(age)}};
+        if (answer > 1) limit.answer->per_s = static_cast<double>(answer - 2) / 1000;
+        limit.usage.asked = consume_total(text, ' ');
+        limit.usage.admitted = consume_total(text, ' ');
+        report.limits.push_back(limit);
+    }
+}
+
 void decode_region_sends(const Json::Value& params, vm_report& report) {
     auto text = string_view_of(params["sent"]);
     while (!text.empty()) {
@@ -170,6 +220,7 @@
     if (!report.objects.empty()) params["obj"] = encode_objects(report);
     if (!report.region_sends.empty()) params["sent"] = encode_region_sends(report);
     if (!report.usage.empty()) params["use"] = encode_usage(report);
+    if (!report.limits.empty()) params["lim"] = encode_limits(report);
     if (!report.outcomes.empty()) params["out"] = encode_outcomes(report);
     for (const auto& [service, share] : report.move_shares)
         params["move"][service] = share;
@@ -206,6 +257,7 @@
         decode_objects(params, report);
         decode_region_sends(params, report);
         decode_usage(params, report);
+        decode_limits(params, report);
         for (const auto& item : params["out"]) {
             report.outcomes.emplace_back(
                 item[0].asString(),
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -27,6 +27,8 @@
     report.region_sends = {{0xffffffff, 1'000'000'000'000}, {8, 1}};
     report.usage = {{"ward", {10, -2}}};
     report.outcomes = {{"s/v/r", {3, 2, 1}}};
+    report.limits = {
+        {7, {{2.125, time_ms{40}}}, {3, 2}}, {8, {{std::nullopt, time_ms{0}}}, {}}, {9, {}, {1, 0}}};
     report.move_shares = {{"s", 0.15}};
     const auto decoded = decode_report(encode_report(report));
     CHECK(decoded.vm == report.vm);
@@ -42,6 +44,16 @@
     CHECK(decoded.region_sends == report.region_sends);
     CHECK(decoded.usage.at(0).second.admitted == -2);
     CHECK(decoded.outcomes.at(0).second.failed == 2);
+    REQUIRE(decoded.limits.size() == 3);
+    CHECK(decoded.limits[0].endpoint == 7);
+    CHECK(decoded.limits[0].answer->per_s == 2.125);
+    CHECK(decoded.limits[0].answer->age == time_ms{40});
+    CHECK(decoded.limits[0].usage.asked == 3);
+    CHECK(decoded.limits[0].usage.admitted == 2);
+    REQUIRE(decoded.limits[1].answer);
+    CHECK_FALSE(decoded.limits[1].answer->per_s);
+    CHECK_FALSE(decoded.limits[2].answer);
+    CHECK(decoded.limits[2].usage.asked == 1);
     CHECK(decoded.move_shares == report.move_shares);
     report.has_identity = false;
     CHECK_FALSE(decode_report(encode_report(report)).has_identity);
@@ -52,12 +64,16 @@
     report.vm = {"edge-1"};
     report.in_flight = {{1, 2}};
     report.objects = {{35, {36}}};
+    report.limits = {{35, {{1.0, time_ms{1}}}, {1, 1}}};
     const auto text = encode_report(report);
     for (const auto& change :
          std::vector<std::pair<std::string, std::string>>{{"\"1 2\"", "[1,2]"},
                                                           {"\"1 2\"", "7"},
                                                           {"\"1 2\"", "\"1 -\""},
                                                           {"\"1 2\"", "\"1\""},
+                                                          {"\"z ru 1 1 1\"", "\"z ru 1\""},
+                                                          {"\"z ru 1 1 1\"", "\"z ru 1 1 3w5e11264sgsf\""},
+                                                          {"\"z ru 1 1 1\"", "{}"},
                                                           {"\"z 10\"", "\",\""},
                                                           {"\"z 10\"", "\"zzzzzzzzzzzzzzzzz\""}}) {
         const auto& from = change.first;
@@ -74,6 +90,7 @@
     vm_report report;
     report.vm = {"edge-1"};
     report.usage = {{"ward", {10, 2}}};
+    report.limits = {{7, {{2.125, time_ms{40}}}, {3, 2}}};
     report.objects = {{1, {5, 6}}};
     const auto text = encode_report(report);
     std::mt19937 random(1);
