Give a restarted VM no second part of the slack for repeats

Callers saw nothing; endpoints could get more repeats than the budget allows after restarts. Cause: the same class as the limits of endpoints, found by looking for it: the budget for repeats is a limit over all VMs, and a process that follows another of the same VM knew nothing of what that one had used, so it used the slack again. Change: a process has its part of the slack from one window after its start, unless the whole fleet starts for the first time. Result: eight VMs restarted within 0.8 s while every request fails: up to 108 repeats in 10 s where 96 are allowed before, within the limit afterwards (test 'processes that replace others use the slack a second time').

--- a/src/coordination/repeat_budget.cpp
+++ b/src/coordination/repeat_budget.cpp
@@ -23,7 +23,8 @@
         requests += entry.requests;
         repeats += entry.repeats;
     }
-    const double allowed = used_fraction * (ratio_ * requests + slack_ / static_cast<double>(vms_));
+    const double slack = now < slack_from_ ? 0 : slack_ / static_cast<double>(vms_);
+    const double allowed = used_fraction * (ratio_ * requests + slack);
     if (repeats + 1 > allowed) return false;
     counts_at(counts, now).repeats += 1;
     return true;
--- a/src/coordination/repeat_budget.h
+++ b/src/coordination/repeat_budget.h
@@ -22,7 +22,11 @@
 
     /// @param ratio Repeats allowed per request.
     /// @param slack Repeats that the whole fleet may send in a window in addition.
-    repeat_budget(double ratio, double slack) : ratio_(ratio), slack_(slack) {}
+    /// @param start Start of this process.
+    /// @param fleet_start The whole fleet starts for the first time. Otherwise an earlier process of this VM
+    /// may have used its part of the slack, which is free again a window later.
+    repeat_budget(double ratio, double slack, time_ms start, bool fleet_start)
+        : ratio_(ratio), slack_(slack), slack_from_(fleet_start ? start : start + window) {}
 
     /// @brief Sets the number of VMs that share the slack.
     void set_fleet(std::size_t vms) { vms_ = vms == 0 ? 1 : vms; }
@@ -35,6 +39,7 @@
 private:
     // Length of the window, in which the limit must hold.
     static constexpr std::size_t window_seconds = 10;
+    static constexpr time_ms window{window_seconds * 1000};
     struct second_counts {
         std::int64_t second = -1;
         double requests = 0;
@@ -47,6 +52,7 @@
 
     double ratio_;
     double slack_;
+    time_ms slack_from_;
     std::size_t vms_ = 1;
     std::unordered_map<std::string, second_ring> services_;
 };
