--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,7 +85,9 @@
 // Logs a new limit of an endpoint with what this VM sent under the one before.
 void log_limit_change(time_ms now, const endpoint_state& endpoint, const endpoint_limit::period& before,
                       std::string_view source) {
-    log(log_level::warn, "endpoint_limit",
+    // An endpoint may adjust its limit with every answer.
+    const bool adjusted = before.per_s && endpoint.limit.per_s();
+    log(adjusted ? log_level::debug : log_level::warn, "endpoint_limit",
         {{"endpoint", endpoint.registration.id.value},
          {"service", endpoint.registration.service},
          {"per_s", limit_text(endpoint.limit.per_s())},
