Reset connections to endpoints and to the store when they are given up

Cause: an ordinary close lets the kernel go on sending what the peer has not acknowledged, so a request that was given up behind a zone cut arrives when the path is back. Ruled out: a second send by the gateway (one attempt id, one send). Change: set_reset_on_close() in transport, used for all connections on which requests to endpoints, to the store and between VMs over HTTP are sent. It holds for every end: deadline, caller gone, answer rejected, pool, end of the process. The option is set past Asio, whose destructor would undo it.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/ip_address.h"
 #include "transport/monotonic_clock.h"
+#include "transport/reset_on_close.h"
 
 #include <fmt/format.h>
 
@@ -95,6 +96,7 @@
     }
     if (failure || expired || aborted_) co_return false;
     socket.set_option(asio::ip::tcp::no_delay(true), failure);
+    set_reset_on_close(socket);
     connect_duration_ = monotonic_now() - started;
     co_return true;
 }
--- a/src/transport/endpoint_connection_pool.cpp
+++ b/src/transport/endpoint_connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "state/error_kind.h"
 #include "transport/ip_address.h"
+#include "transport/reset_on_close.h"
 
 #include <fmt/format.h>
 
@@ -60,6 +61,7 @@
                     fmt::format("connect to endpoint {}: {}", connection->address, failure.message()));
     }
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
+    set_reset_on_close(connection->stream.socket());
     co_return connection;
 }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_client.h"
 
 #include "transport/ip_address.h"
+#include "transport/reset_on_close.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -86,6 +87,7 @@
     co_await connection->stream.async_connect(endpoint, await_with_error(failure));
     if (failure) throw_failure(http_failure::connect_failed, "connect", failure);
     connection->stream.socket().set_option(tcp::no_delay(true), failure);
+    set_reset_on_close(connection->stream.socket());
     co_return connection;
 }
 
