Drop reports that a later one of the same process has overtaken

Reports between VMs are datagrams: one that was overtaken brought back an earlier state until the next (a leaving VM was named to callers again), and a copy of one counted the use of limits twice. Change: reports are numbered; fleet_view tells which are outdated, and a metric counts them. Reports without a number, of an earlier release, are accepted.

--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -17,6 +17,14 @@
 
 } // namespace
 
+bool fleet_view::outdated(const vm_report& report) const {
+    const auto found = members_.find(report.vm.value);
+    if (found == members_.end() || !found->second.has_reported) return false;
+    const auto& known = found->second.report;
+    return known.incarnation == report.incarnation && report.sequence != 0 &&
+           report.sequence <= known.sequence;
+}
+
 bool fleet_view::on_report(time_ms now, const vm_report& report) {
     if (report.vm == self_.vm) return false;
     auto& member = members_[report.vm.value];
--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -37,6 +37,8 @@
 
     explicit fleet_view(vm_report self) : self_(std::move(self)) {}
 
+    /// @brief Whether a report has been overtaken by a later one of the same process, or is a copy of one.
+    [[nodiscard]] bool outdated(const vm_report& report) const;
     /// @brief Records a report.
     /// @return Whether the process was not known before, so that it should be told about this VM at once.
     bool on_report(time_ms now, const vm_report& report);
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -65,6 +65,8 @@
 struct vm_report {
     vm_name vm;
     incarnation_id incarnation;
+    /// Number of the report since the start of the process; 0 if it has none.
+    std::uint64_t sequence = 0;
     /// The report holds zone, region and addresses. Most reports omit them, because they never change within
     /// a process.
     bool has_identity = true;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -317,6 +317,11 @@
 
 void gateway::on_report(const vm_report& report) {
     const auto now = monotonic_now();
+    // Datagrams may overtake each other and be duplicated.
+    if (fleet_.outdated(report)) {
+        ++outdated_reports_;
+        return;
+    }
     if (fleet_.on_report(now, report)) {
         log(log_level::info, "vm_seen", {{"vm", report.vm.value}, {"zone", report.zone.value}});
         if (report.has_identity) send_report(report.peer_address);
@@ -364,8 +369,9 @@
     }
 }
 
-vm_report gateway::make_report(bool full, report_audience audience) const {
+vm_report gateway::make_report(bool full, report_audience audience) {
     auto made = fleet_.self();
+    made.sequence = ++report_sequence_;
     made.has_identity = full;
     made.ready = ready();
     made.leaving = leaving_;
@@ -573,6 +579,7 @@
     add("lacewing_request_ms_count", cumulative);
     add("lacewing_store_calls_total", store_.calls());
     add("lacewing_peer_bytes_sent_total", peers_->bytes_sent());
+    add("lacewing_outdated_reports_total", outdated_reports_);
     add("lacewing_endpoints", registry_.size());
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
     add("lacewing_caller_connections", callers_.connections());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,7 +48,7 @@
     void on_report(const vm_report& report);
     /// @param full Include addresses, store revisions and the usage of all accounts, which most reports leave
     /// out.
-    [[nodiscard]] vm_report make_report(bool full, report_audience audience) const;
+    [[nodiscard]] vm_report make_report(bool full, report_audience audience);
     void send_report(const std::string& address);
     void send_reports();
     void send_reports(report_audience audience, bool full);
@@ -95,6 +95,10 @@
     // When this VM last learned of a change of the stored objects.
     time_ms revisions_changed_{0};
     std::uint64_t report_count_ = 0;
+    // Last vm_report::sequence of this VM.
+    std::uint64_t report_sequence_ = 0;
+    // Reports of other VMs that were dropped because a later one had arrived.
+    std::uint64_t outdated_reports_ = 0;
     bool leaving_ = false;
 };
 
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -205,6 +205,7 @@
     Json::Value params;
     params["vm"] = report.vm.value;
     params["inc"] = to_hex(report.incarnation);
+    params["seq"] = Json::UInt64(report.sequence);
     if (report.has_identity) {
         params["zone"] = report.zone.value;
         params["region"] = report.region.value;
@@ -243,6 +244,7 @@
         report.zone = {params["zone"].asString()};
         report.region = {params["region"].asString()};
         report.incarnation = incarnation_from_hex(params["inc"].asString());
+        report.sequence = params["seq"].asUInt64();
         report.peer_address = params["peer"].asString();
         report.caller_address = params["caller"].asString();
         const auto state = params["state"].asUInt();
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -88,3 +88,24 @@
     other.on_report(time_ms{5000}, report("d"));
     CHECK_FALSE(other.in_majority(time_ms{5001}));
 }
+
+TEST_CASE("fleet view: a report that was overtaken, or a copy, brings back an earlier state") {
+    fleet_view fleet(report("self"));
+    auto first = report("b");
+    first.sequence = 1;
+    auto leaving = report("b");
+    leaving.sequence = 2;
+    leaving.leaving = true;
+    CHECK_FALSE(fleet.outdated(leaving));
+    fleet.on_report(time_ms{0}, leaving);
+    CHECK(fleet.outdated(first));
+    CHECK(fleet.outdated(leaving));
+    leaving.sequence = 3;
+    CHECK_FALSE(fleet.outdated(leaving));
+    // A restarted process counts from one again.
+    auto restarted = report("b", 2);
+    restarted.sequence = 1;
+    CHECK_FALSE(fleet.outdated(restarted));
+    // A process without numbers, of an earlier release.
+    CHECK_FALSE(fleet.outdated(report("b")));
+}
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -16,6 +16,7 @@
     report.zone = {"z"};
     report.region = {"r"};
     report.incarnation = incarnation_id{0x1234567890abcdefULL};
+    report.sequence = 1'000'000'000'000;
     report.peer_address = "10.0.0.1:1";
     report.caller_address = "10.0.0.1:2";
     report.ready = true;
@@ -33,6 +34,7 @@
     const auto decoded = decode_report(encode_report(report));
     CHECK(decoded.vm == report.vm);
     CHECK(decoded.incarnation == report.incarnation);
+    CHECK(decoded.sequence == report.sequence);
     CHECK(decoded.has_identity);
     CHECK(decoded.caller_address == report.caller_address);
     CHECK(decoded.ready);
