Read the objects of the store entry by entry, so that an odd one harms nothing else

Cause: a list was read as one JSON text. Text nested deeper than 1,000 levels made the reader throw, out of the coroutine and so out of the process; a number such as 1e999 or half of a surrogate pair made the whole list unreadable, so the old list stayed in force. A registration of a VM with an invalid address ended the process as well, and so did a report between VMs that was nested deeply or named an unknown kind. A configuration without routes, or with a field of the wrong type, replaced the valid one.

Change: state/json_text reads every text of another process, with a limit on nesting, and never throws. A page that cannot be read as a whole is split by brackets and read entry by entry; an unreadable object keeps its name, so it is no longer used, and the others hold. Fields are checked before they are converted. The copy of one kind is now gateway/object_copy, without network. The daemons share one reader and one writer of JSON.

--- a/src/coordination/move_driver.cpp
+++ b/src/coordination/move_driver.cpp
@@ -1,5 +1,7 @@
 #include "coordination/move_driver.h"
 
+#include "state/json_text.h"
+
 #include <json/json.h>
 
 #include <algorithm>
@@ -31,19 +33,9 @@
     return value.isInt64() ? value.asInt64() : 0;
 }
 
-std::string to_json_text(const Json::Value& value) {
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
-}
-
 std::optional<Json::Value> parse_object(const std::string& text) {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string parse_errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &parse_errors) || !value.isObject())
-        return std::nullopt;
+    auto value = read_json(text);
+    if (value && !value->isObject()) value.reset();
     return value;
 }
 
@@ -458,7 +450,7 @@
             entries.removeIndex(0, &removed);
         entries.append(new_step->step + ": " + new_step->evidence);
     }
-    move.pending_write = conditional_write{move.key, move.revision, to_json_text(value)};
+    move.pending_write = conditional_write{move.key, move.revision, compact_json(value)};
     move.pending_write_since = now;
     out.writes.push_back(*move.pending_write);
 }
@@ -474,7 +466,7 @@
     const auto& entries = move.value["evidence"];
     if (entries.isArray() && !entries.empty()) value["evidence"].append(entries[entries.size() - 1]);
     move.pending_write =
-        conditional_write{fmt::format("{}{}", history_prefix, move.revision.value), {}, to_json_text(value)};
+        conditional_write{fmt::format("{}{}", history_prefix, move.revision.value), {}, compact_json(value)};
     move.pending_write_since = now;
     out.writes.push_back(*move.pending_write);
 }
--- a/src/coordination/serving_snapshot.cpp
+++ b/src/coordination/serving_snapshot.cpp
@@ -1,6 +1,7 @@
 #include "coordination/serving_snapshot.h"
 
 #include "state/error_kind.h"
+#include "state/json_text.h"
 
 #include <json/json.h>
 
@@ -23,15 +24,11 @@
 
 // Parses the JSON value of an object.
 Json::Value parse_object(const object_event& object) {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string problems;
-    const auto& text = *object.value;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems) || !value.isObject()) {
-        throw error(error_kind::bad_request, fmt::format("not a JSON object: {}", problems));
-    }
-    return value;
+    std::string problem;
+    auto value = read_json(*object.value, &problem);
+    if (!value || !value->isObject())
+        throw error(error_kind::bad_request, fmt::format("not a JSON object: {}", problem));
+    return std::move(*value);
 }
 
 std::string string_or_empty(const Json::Value& value) {
--- a/src/coordination/zone_roster.cpp
+++ b/src/coordination/zone_roster.cpp
@@ -1,6 +1,7 @@
 #include "coordination/zone_roster.h"
 
 #include "state/error_kind.h"
+#include "state/json_text.h"
 
 #include <algorithm>
 #include <memory>
@@ -36,18 +37,14 @@
         item["layout"] = Json::UInt64{entry.zone_list_id};
         root["vms"].append(item);
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root);
+    return compact_json(root);
 }
 
 roster_object parse_roster(std::string_view text) {
-    Json::Value root;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors) || !root.isObject()) {
-        throw error(error_kind::bad_request, "budget roster: " + errors);
-    }
+    std::string problem = "not an object";
+    const auto parsed = read_json(text, &problem);
+    if (!parsed || !parsed->isObject()) throw error(error_kind::bad_request, "budget roster: " + problem);
+    const auto& root = *parsed;
     try {
         roster_object roster;
         roster.written_by = root["written_by"].asString();
--- a/src/ctl/store_access.cpp
+++ b/src/ctl/store_access.cpp
@@ -1,11 +1,11 @@
 #include "ctl/store_access.h"
 
 #include "ctl/context.h"
+#include "state/json_text.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <fmt/format.h>
-#include <json/reader.h>
 #include <random>
 
 namespace lacewing::ctl {
@@ -44,14 +44,11 @@
 }
 
 Json::Value parse_json(const std::string& text, const std::string& source) {
-    Json::CharReaderBuilder builder;
-    Json::Value value;
-    std::string errors;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors) || !value.isObject()) {
-        throw std::runtime_error(fmt::format("{} is not a JSON object: {}", source, errors));
-    }
-    return value;
+    std::string problem;
+    auto value = read_json(text, &problem);
+    if (!value || !value->isObject())
+        throw std::runtime_error(fmt::format("{} is not a JSON object: {}", source, problem));
+    return std::move(*value);
 }
 
 store_access::store_access(const std::string& address)
--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control_thread.h"
 
 #include "coordination/key_policy.h"
+#include "state/json_text.h"
 #include "transport/host.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
@@ -42,12 +43,6 @@
 // entry.
 constexpr time_ms roster_removal_limit{6000};
 
-std::string write_json(const Json::Value& value) {
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
-}
-
 std::string_view to_string(key_verdict verdict) {
     switch (verdict) {
     case key_verdict::fresh:
@@ -80,13 +75,10 @@
 // because the code that decides on moves has no access to the wall clock.
 std::string with_history_timestamp(const conditional_write& write) {
     if (!write.key.starts_with("history/")) return write.value;
-    Json::Value record;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    const auto* begin = write.value.data();
-    if (!reader->parse(begin, begin + write.value.size(), &record, nullptr) || !record.isObject())
-        return write.value;
-    record["at"] = Json::Int64(unix_seconds_now());
-    return write_json(record);
+    auto record = read_json(write.value);
+    if (!record || !record->isObject()) return write.value;
+    (*record)["at"] = Json::Int64(unix_seconds_now());
+    return compact_json(*record);
 }
 
 // Whether the serve thread handles the message, and not the control thread.
@@ -523,7 +515,7 @@
         member["revision"] = Json::UInt64(own ? node_.replica().revision().value : record.revision.value);
         root["members"].append(member);
     }
-    return write_json(root) + "\n";
+    return compact_json(root) + "\n";
 }
 
 std::string control_thread::dump() const {
@@ -550,7 +542,7 @@
     root["peers"]["bytes_received"] = Json::UInt64(counters.bytes_received);
     root["peers"]["messages_dropped"] = Json::UInt64(counters.messages_dropped);
     root["peers"]["messages_rejected"] = Json::UInt64(rejected_messages_);
-    return write_json(root);
+    return compact_json(root);
 }
 
 } // namespace lacewing
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "protocol/caller_http.h"
 #include "protocol/report_codec.h"
 #include "state/configuration.h"
+#include "state/yaml_reader.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
@@ -39,9 +40,6 @@
 constexpr time_ms maintenance_interval{1000};
 // Lifetime of a lookup answer: long enough to save lookups, short enough for callers to leave a dead VM soon.
 constexpr time_ms max_lookup_lifetime{2000};
-// How long this VM may lack a change that another VM reports before it fetches a snapshot from that VM. Its
-// own watch usually brings the change sooner.
-constexpr time_ms catch_up_delay{200};
 constexpr time_ms store_write_timeout{1000};
 // Stages of a graceful stop, from its start: first, lookups stop naming this VM; then idle connections are
 // closed; then new requests are refused. The time left of the grace, less the margin, is for requests in
@@ -55,10 +53,12 @@
 // which used 400 of 4,100 on the busiest day.
 constexpr double caller_descriptor_share = 0.75;
 
-std::vector<std::string> mirrored_kinds() {
-    return {std::string(platform::configuration_kind), std::string(platform::endpoint_kind),
-            std::string(platform::move_kind), std::string(platform::drain_kind),
-            std::string(platform::vm_kind)};
+std::vector<mirrored_kind> mirrored_kinds() {
+    return {{std::string(platform::configuration_kind)},
+            {std::string(platform::endpoint_kind)},
+            {std::string(platform::move_kind)},
+            {std::string(platform::drain_kind)},
+            {std::string(platform::vm_kind), true}};
 }
 
 vm_report initial_report(const gateway_settings& settings, std::uint64_t seed) {
@@ -133,8 +133,7 @@
     peers_ = std::make_unique<peer_exchange>(
         context_, settings.peer_listen, [this](const vm_report& report) { on_report(report); },
         [this](const std::string& kind) {
-            const auto kinds = mirrored_kinds();
-            return std::find(kinds.begin(), kinds.end(), kind) != kinds.end() ? mirror_.snapshot(kind) : "{}";
+            return mirror_.complete_revision(kind) ? mirror_.snapshot(kind) : "{}";
         });
     callers_.listen(
         settings.caller_listen,
@@ -197,7 +196,7 @@
         if (change.kind == platform::move_kind) apply_moves();
         if (change.kind == platform::drain_kind) apply_drains();
         if (change.kind == platform::vm_kind) apply_registrations();
-    } catch (const Json::Exception& problem) {
+    } catch (const std::exception& problem) {
         log(log_level::error, "object_rejected", {{"kind", change.kind}, {"reason", problem.what()}});
     }
 }
@@ -246,6 +245,9 @@
             registry_.remove(now, id, false);
             log(log_level::warn, "endpoint_rejected",
                 {{"endpoint", id}, {"field", problem.field()}, {"reason", problem.reason()}});
+        } catch (const Json::Exception& problem) {
+            registry_.remove(now, id, false);
+            log(log_level::warn, "endpoint_rejected", {{"endpoint", id}, {"reason", problem.what()}});
         }
     }
 }
@@ -255,9 +257,8 @@
     for (const auto& [name, object] : mirror_.objects(std::string(platform::move_kind))) {
         try {
             orders.push_back(platform::decode_move(object));
-        } catch (const config_error& problem) {
-            log(log_level::warn, "move_rejected",
-                {{"service", name}, {"field", problem.field()}, {"reason", problem.reason()}});
+        } catch (const std::exception& problem) {
+            log(log_level::warn, "move_rejected", {{"service", name}, {"reason", problem.what()}});
         }
     }
     moves_.set_orders(monotonic_now(), orders);
@@ -266,7 +267,8 @@
 void gateway::apply_drains() {
     std::set<std::string> zones;
     for (const auto& [zone, object] : mirror_.objects(std::string(platform::drain_kind))) {
-        if (!object["metadata"]["deleting"].asBool()) zones.insert(zone);
+        const auto& deleting = object["metadata"]["deleting"];
+        if (!deleting.isBool() || !deleting.asBool()) zones.insert(zone);
     }
     // Endpoints of a zone that is taken back into service are cold for the longest warm-up of any service.
     time_ms warmup{3000};
@@ -284,13 +286,13 @@
 void gateway::apply_registrations() {
     const auto now = monotonic_now();
     for (const auto& [name, object] : mirror_.objects(std::string(platform::vm_kind))) {
-        const auto& spec = object["spec"];
         vm_report made;
-        made.vm = {name};
-        made.zone = {spec["zone"].asString()};
-        made.region = {spec["region"].asString()};
-        made.peer_address = spec["peer"].asString();
-        made.caller_address = spec["caller"].asString();
+        try {
+            made = platform::decode_vm(object);
+        } catch (const std::exception& problem) {
+            log(log_level::warn, "vm_rejected", {{"vm", name}, {"reason", problem.what()}});
+            continue;
+        }
         fleet_.on_registration(now, made);
         if (made.vm != settings_.vm && contacted_peers_.insert(made.peer_address).second)
             send_report(made.peer_address);
@@ -333,35 +335,35 @@
     const auto sender = fleet_.members().find(report.vm.value);
     if (sender != fleet_.members().end() && sender->second.report.region == settings_.region)
         selector_.shift_limiter().on_report(now, report);
-    catch_up(report);
+    catch_up_with(report);
 }
 
-// Fetches snapshots of the kinds of which another VM has reported a newer revision for catch_up_delay.
-void gateway::catch_up(const vm_report& report) {
+// Fetches snapshots of the kinds of which another VM has known a newer revision for some time.
+void gateway::catch_up_with(const vm_report& report) {
     const auto now = monotonic_now();
     const auto member = fleet_.members().find(report.vm.value);
-    if (member == fleet_.members().end() || member->second.report.peer_address.empty()) return;
+    if (member == fleet_.members().end()) return;
+    const auto& address = member->second.report.peer_address;
+    if (!is_socket_address(address)) return;
     for (const auto& [kind, revision] : report.revisions) {
-        if (revision <= mirror_.complete_revision(kind)) {
-            behind_since_.erase(kind);
-            continue;
-        }
-        const auto since = behind_since_.try_emplace(kind, now).first->second;
-        if (now - since < catch_up_delay || fetching_.contains(kind)) continue;
-        fetching_.insert(kind);
-        asio::co_spawn(context_, fetch_snapshot(member->second.report.peer_address, kind), asio::detached);
+        const auto own = mirror_.complete_revision(kind);
+        if (!own || !catch_up_.on_report(now, kind, revision, *own)) continue;
+        log(log_level::info, "behind_another_vm",
+            {{"kind", kind}, {"revision", *own}, {"vm", report.vm.value}, {"reported", revision}});
+        asio::co_spawn(context_, fetch_snapshot(address, kind), asio::detached);
     }
 }
 
 asio::awaitable<void> gateway::fetch_snapshot(std::string address, std::string kind) {
     const auto text = co_await peers_->fetch_snapshot(address, kind);
-    fetching_.erase(kind);
-    behind_since_.erase(kind);
+    catch_up_.finished(kind);
     if (text.empty()) co_return;
     try {
         if (mirror_.apply_snapshot(kind, text)) {
             log(log_level::info, "snapshot_applied",
-                {{"kind", kind}, {"from", address}, {"revision", mirror_.complete_revision(kind)}});
+                {{"kind", kind},
+                 {"from", address},
+                 {"revision", mirror_.complete_revision(kind).value_or(0)}});
         }
     } catch (const std::exception& problem) {
         log(log_level::warn, "snapshot_rejected",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/account_limiter.h"
+#include "coordination/catch_up.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_selector.h"
 #include "coordination/fleet_view.h"
@@ -52,7 +53,7 @@
     void send_report(const std::string& address);
     void send_reports();
     void send_reports(report_audience audience, bool full);
-    void catch_up(const vm_report& report);
+    void catch_up_with(const vm_report& report);
     boost::asio::awaitable<void> fetch_snapshot(std::string address, std::string kind);
     boost::asio::awaitable<void> register_vm();
     boost::asio::awaitable<void> write_move(move_write write);
@@ -86,10 +87,7 @@
     std::unique_ptr<http_server> ready_server_;
     std::unique_ptr<http_server> lookup_server_;
     std::unique_ptr<http_server> metrics_server_;
-    // Kinds of objects of which another VM knows a newer revision, and since when.
-    std::map<std::string, time_ms> behind_since_;
-    // Kinds whose snapshot is being fetched.
-    std::set<std::string> fetching_;
+    catch_up catch_up_;
     // Peer addresses that were sent a report because of their registration in the store.
     std::set<std::string> contacted_peers_;
     // When this VM last learned of a change of the stored objects.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -50,7 +50,7 @@
         if (failure) continue;
         try {
             on_report_(decode_report({buffer_.data(), count}));
-        } catch (const error& problem) {
+        } catch (const std::exception& problem) {
             log(log_level::warn, "peer_message_rejected", {{"reason", problem.what()}});
         }
     }
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -4,10 +4,7 @@
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
-#include <json/reader.h>
-#include <json/writer.h>
-
-#include <algorithm>
+#include <utility>
 
 namespace lacewing {
 
@@ -16,11 +13,14 @@
 namespace {
 
 constexpr time_ms list_timeout{1500};
-// The store ends a watch without events after watch_wait, which shows that the connection works; a dead
-// connection is detected after watch_wait + watch_grace. Together they must leave time for a second attempt
-// before a leaving endpoint must get no more requests (INV-9).
+// The store ends a watch without events after watch_wait, which shows that the connection works; one that
+// went silent is detected after watch_wait + watch_grace. A new connection must then bring a change within
+// the bounds on configurations and leaving endpoints, which are 2 s and more (INV-9), and the whole must stay
+// below min_lapsing_outage.
 constexpr time_ms watch_wait{2500};
 constexpr time_ms watch_grace{800};
+// For kinds whose changes the reports of the VMs carry as well.
+constexpr time_ms relaxed_watch_wait{5000};
 // Pause after a failed call: calls to a store that does not answer are billed too.
 constexpr time_ms min_retry_pause{200};
 constexpr time_ms max_retry_pause{500};
@@ -34,22 +34,15 @@
 // Objects that are removed this soon after an outage may have lapsed because of it.
 constexpr time_ms lapse_window{2500};
 
-std::uint64_t revision_of(const Json::Value& object) {
-    return object["metadata"]["revision"].asUInt64();
-}
-
-std::string name_of(const Json::Value& object) {
-    const auto& name = object["metadata"]["name"];
-    return name.isString() ? name.asString() : "";
-}
-
 } // namespace
 
 store_mirror::store_mirror(asio::io_context& context, platform::object_store& store,
-                           std::vector<std::string> kinds, std::uint64_t seed, listener on_change)
+                           const std::vector<mirrored_kind>& kinds, std::uint64_t seed, listener on_change)
     : context_(context), store_(store), random_(seed), on_change_(std::move(on_change)) {
-    for (auto& kind : kinds)
-        kinds_[std::move(kind)];
+    for (const auto& kind : kinds) {
+        kinds_[kind.name];
+        if (kind.reported_by_vms) relaxed_kinds_.insert(kind.name);
+    }
 }
 
 void store_mirror::start() {
@@ -64,18 +57,20 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<platform::page_result> store_mirror::fetch(std::string kind, bool must_list) {
+    if (must_list) co_return co_await store_.list(kind, list_timeout);
+    co_return co_await store_.watch(kind, kinds_[kind].as_of(),
+                                    relaxed_kinds_.contains(kind) ? relaxed_watch_wait : watch_wait,
+                                    watch_grace);
+}
+
 // Lists a kind, then watches it; lists it again when the store no longer has the events after the known
 // revision.
 asio::awaitable<void> store_mirror::list_and_watch(std::string kind) {
-    auto& state = kinds_[kind];
+    auto& copy = kinds_[kind];
     bool must_list = true;
     for (;;) {
-        platform::page_result result;
-        if (must_list) {
-            result = co_await store_.list(kind, list_timeout);
-        } else {
-            result = co_await store_.watch(kind, state.as_of, watch_wait, watch_grace);
-        }
+        auto result = co_await fetch(kind, must_list);
         const auto now = monotonic_now();
         if (const auto* problem = std::get_if<platform::call_failed>(&result)) {
             on_failure(now, kind, problem->reason);
@@ -84,75 +79,34 @@
         }
         on_success(now);
         if (std::holds_alternative<platform::history_lost>(result)) {
-            log(log_level::info, "store_history_lost", {{"kind", kind}, {"revision", state.as_of}});
+            log(log_level::info, "store_history_lost", {{"kind", kind}, {"revision", copy.as_of()}});
             must_list = true;
             continue;
         }
         auto& page = std::get<platform::object_page>(result);
         if (must_list) {
-            std::vector<Json::Value> items;
-            for (auto& entry : page.entries)
-                items.push_back(std::move(entry.object));
-            apply_list(kind, std::move(items), page.as_of);
+            const auto listed_revision = page.as_of;
+            auto changes = copy.apply_list(std::move(page));
             must_list = false;
-        } else if (!page.entries.empty()) {
-            apply_events(kind, page);
-            co_await wait_random(event_batch_pause, event_batch_pause);
+            if (changes.applied) {
+                publish(kind, std::move(changes));
+                continue;
+            }
+            log(log_level::warn, "store_list_outdated",
+                {{"kind", kind}, {"revision", listed_revision}, {"known", copy.as_of()}});
+            co_await wait_random(min_retry_pause, max_retry_pause);
         } else {
-            state.as_of = std::max(state.as_of, page.as_of);
+            const bool any_events = !page.entries.empty();
+            auto changes = copy.apply_events(page);
+            if (!any_events) continue;
+            publish(kind, std::move(changes));
+            co_await wait_random(event_batch_pause, event_batch_pause);
         }
     }
 }
 
-void store_mirror::apply_list(const std::string& kind, std::vector<Json::Value> items, std::uint64_t as_of) {
-    auto& state = kinds_[kind];
-    if (state.known && as_of < state.as_of) return;
-    mirror_change change{kind, {}, {}, after_outage(monotonic_now())};
-    std::map<std::string, Json::Value> listed;
-    for (auto& item : items) {
-        const auto name = name_of(item);
-        if (name.empty()) continue;
-        const auto known = state.objects.find(name);
-        state.changed_revision = std::max(state.changed_revision, revision_of(item));
-        if (known == state.objects.end() || revision_of(known->second) != revision_of(item)) {
-            change.changed.push_back(name);
-        }
-        listed[name] = std::move(item);
-    }
-    for (const auto& [name, object] : state.objects) {
-        if (!listed.contains(name)) change.removed.push_back(name);
-    }
-    if (!change.removed.empty()) state.changed_revision = std::max(state.changed_revision, as_of);
-    state.objects = std::move(listed);
-    state.as_of = as_of;
-    state.known = true;
-    on_change_(change);
-}
-
-void store_mirror::apply_events(const std::string& kind, const platform::object_page& page) {
-    auto& state = kinds_[kind];
-    mirror_change change{kind, {}, {}, after_outage(monotonic_now())};
-    for (const auto& event : page.entries) {
-        const auto name = name_of(event.object);
-        if (name.empty()) continue;
-        const auto known = state.objects.find(name);
-        if (event.deleted) {
-            // A deletion older than the known object is that of an earlier object with the same name.
-            if (known == state.objects.end() || revision_of(event.object) < revision_of(known->second))
-                continue;
-            state.objects.erase(known);
-            change.removed.push_back(name);
-            std::erase(change.changed, name);
-            continue;
-        }
-        if (known != state.objects.end() && revision_of(event.object) <= revision_of(known->second)) continue;
-        state.objects[name] = event.object;
-        std::erase(change.removed, name);
-        change.changed.push_back(name);
-    }
-    state.as_of = std::max(state.as_of, page.as_of);
-    state.changed_revision = std::max(state.changed_revision, page.as_of);
-    on_change_(change);
+void store_mirror::publish(const std::string& kind, object_changes changes) {
+    on_change_({kind, std::move(changes.changed), std::move(changes.removed), after_outage(monotonic_now())});
 }
 
 void store_mirror::on_success(time_ms now) {
@@ -176,22 +130,24 @@
 }
 
 const std::map<std::string, Json::Value>& store_mirror::objects(const std::string& kind) const {
-    return kinds_.at(kind).objects;
+    return kinds_.at(kind).objects();
 }
 
 bool store_mirror::known(const std::string& kind) const {
-    return kinds_.at(kind).known;
+    return kinds_.at(kind).known();
 }
 
 std::map<std::string, std::uint64_t> store_mirror::change_revisions() const {
     std::map<std::string, std::uint64_t> revisions;
-    for (const auto& [kind, state] : kinds_)
-        revisions[kind] = state.changed_revision;
+    for (const auto& [kind, copy] : kinds_)
+        revisions[kind] = copy.changed_revision();
     return revisions;
 }
 
-std::uint64_t store_mirror::complete_revision(const std::string& kind) const {
-    return kinds_.at(kind).as_of;
+std::optional<std::uint64_t> store_mirror::complete_revision(const std::string& kind) const {
+    const auto found = kinds_.find(kind);
+    if (found == kinds_.end()) return std::nullopt;
+    return found->second.as_of();
 }
 
 bool store_mirror::is_reachable(time_ms now) const {
@@ -199,32 +155,13 @@
 }
 
 std::string store_mirror::snapshot(const std::string& kind) const {
-    const auto& state = kinds_.at(kind);
-    Json::Value body;
-    body["as_of"] = Json::UInt64(state.as_of);
-    body["known"] = state.known;
-    body["items"] = Json::arrayValue;
-    for (const auto& [name, object] : state.objects)
-        body["items"].append(object);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, body);
+    return kinds_.at(kind).snapshot();
 }
 
 bool store_mirror::apply_snapshot(const std::string& kind, std::string_view text) {
-    static const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value body;
-    if (!reader->parse(text.data(), text.data() + text.size(), &body, nullptr) || !body["items"].isArray()) {
-        throw error(error_kind::bad_request, "the snapshot from another VM is malformed");
-    }
-    auto& state = kinds_.at(kind);
-    const auto as_of = body["as_of"].asUInt64();
-    if (!body["known"].asBool() || (state.known && as_of <= state.as_of)) return false;
-    std::vector<Json::Value> items;
-    for (const auto& item : body["items"])
-        items.push_back(item);
-    apply_list(kind, std::move(items), as_of);
+    auto changes = kinds_.at(kind).apply_snapshot(text);
+    if (!changes.applied) return false;
+    publish(kind, std::move(changes));
     return true;
 }
 
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/object_copy.h"
 #include "platform/object_store.h"
 #include "state/time_ms.h"
 
@@ -8,8 +9,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +30,13 @@
     bool after_outage = false;
 };
 
+/// @brief Kind of objects to mirror.
+struct mirrored_kind {
+    std::string name;
+    /// The reports between VMs carry the same changes, so the store's own may come later.
+    bool reported_by_vms = false;
+};
+
 /// @brief Local copy of some kinds of objects in the platform's store, kept current by watches.
 ///
 /// While the store is unavailable, the copy is kept and can be updated from snapshots of other VMs.
@@ -36,7 +45,7 @@
     using listener = std::function<void(const mirror_change&)>;
 
     store_mirror(boost::asio::io_context& context, platform::object_store& store,
-                 std::vector<std::string> kinds, std::uint64_t seed, listener on_change);
+                 const std::vector<mirrored_kind>& kinds, std::uint64_t seed, listener on_change);
 
     /// @brief Starts listing and watching all kinds.
     void start();
@@ -47,8 +56,9 @@
     [[nodiscard]] bool known(const std::string& kind) const;
     /// @brief Store revision of the newest known change, by kind.
     [[nodiscard]] std::map<std::string, std::uint64_t> change_revisions() const;
-    /// @brief Store revision up to which the copy of a kind is complete.
-    [[nodiscard]] std::uint64_t complete_revision(const std::string& kind) const;
+    /// @brief Store revision up to which the copy of a kind is complete; nothing for a kind that is not
+    /// mirrored.
+    [[nodiscard]] std::optional<std::uint64_t> complete_revision(const std::string& kind) const;
     /// @brief Whether the store has answered within the duration of one watch.
     [[nodiscard]] bool is_reachable(time_ms now) const;
 
@@ -61,27 +71,18 @@
     bool apply_snapshot(const std::string& kind, std::string_view text);
 
 private:
-    struct kind_state {
-        std::map<std::string, Json::Value> objects;
-        /// Store revision up to which the objects are complete.
-        std::uint64_t as_of = 0;
-        /// Store revision of the newest known change.
-        std::uint64_t changed_revision = 0;
-        /// Listed, or received from another VM, since the start.
-        bool known = false;
-    };
-
     boost::asio::awaitable<void> list_and_watch(std::string kind);
     boost::asio::awaitable<void> wait_random(time_ms min_wait, time_ms max_wait);
-    void apply_list(const std::string& kind, std::vector<Json::Value> items, std::uint64_t as_of);
-    void apply_events(const std::string& kind, const platform::object_page& page);
+    [[nodiscard]] boost::asio::awaitable<platform::page_result> fetch(std::string kind, bool must_list);
+    void publish(const std::string& kind, object_changes changes);
     void on_success(time_ms now);
     void on_failure(time_ms now, const std::string& kind, const std::string& reason);
     [[nodiscard]] bool after_outage(time_ms now) const;
 
     boost::asio::io_context& context_;
     platform::object_store& store_;
-    std::map<std::string, kind_state> kinds_;
+    std::map<std::string, object_copy> kinds_;
+    std::set<std::string> relaxed_kinds_;
     std::mt19937_64 random_;
     listener on_change_;
     time_ms last_success_{-1'000'000};
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -2,8 +2,9 @@
 
 #include "protocol/jsonrpc_builder.h"
 #include "state/error_kind.h"
+#include "state/json_text.h"
+#include "state/yaml_reader.h"
 
-#include <json/reader.h>
 #include <json/value.h>
 
 #include <algorithm>
@@ -11,7 +12,6 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
-#include <memory>
 #include <string_view>
 
 namespace lacewing {
@@ -229,11 +229,10 @@
 }
 
 vm_report decode_report(std::string_view text) {
-    static const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    Json::Value message;
-    if (!reader->parse(text.data(), text.data() + text.size(), &message, nullptr) || !message.isObject()) {
+    const auto parsed = read_json(text);
+    if (!parsed || !parsed->isObject())
         throw error(error_kind::bad_request, "a peer message is not a JSON object");
-    }
+    const auto& message = *parsed;
     if (message["method"] != report_method)
         throw error(error_kind::bad_request, "unknown method in a peer message");
     try {
@@ -247,6 +246,8 @@
         report.sequence = params["seq"].asUInt64();
         report.peer_address = params["peer"].asString();
         report.caller_address = params["caller"].asString();
+        if (report.has_identity && !is_socket_address(report.peer_address))
+            throw error(error_kind::bad_request, "a peer message has an invalid address");
         const auto state = params["state"].asUInt();
         report.ready = (state & 1U) != 0;
         report.leaving = (state & 2U) != 0;
--- a/src/state/block_table.cpp
+++ b/src/state/block_table.cpp
@@ -1,6 +1,7 @@
 #include "state/block_table.h"
 
 #include "state/error_kind.h"
+#include "state/json_text.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -230,11 +231,11 @@
 }
 
 void add_block_chunk(std::string_view json, block_set& set) {
-    Json::Value root;
-    std::string parse_errors;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(json.data(), json.data() + json.size(), &root, &parse_errors) || !root.isObject())
-        throw error(error_kind::bad_request, fmt::format("blocks: {}", parse_errors));
+    std::string problem;
+    const auto parsed = read_json(json, &problem);
+    if (!parsed || !parsed->isObject())
+        throw error(error_kind::bad_request, fmt::format("blocks: {}", problem));
+    const auto& root = *parsed;
     const auto find_or_add_site = [&](const std::string& name) {
         for (std::size_t i = 0; i < set.sites.size(); ++i) {
             if (set.sites[i].name == name) return static_cast<site_index>(i);
--- a/src/transport/store_client.cpp
+++ b/src/transport/store_client.cpp
@@ -2,15 +2,14 @@
 
 #include "protocol/url.h"
 #include "state/error_kind.h"
+#include "state/json_text.h"
 #include "transport/monotonic_clock.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <fmt/format.h>
-#include <json/reader.h>
 #include <json/value.h>
-#include <json/writer.h>
 
 #include <algorithm>
 #include <chrono>
@@ -27,22 +26,11 @@
 
 // Returns nullopt if the text is not a JSON object.
 std::optional<Json::Value> parse_object(const std::string& text) {
-    static const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string parse_failure;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &parse_failure) || !value.isObject()) {
-        return std::nullopt;
-    }
+    auto value = read_json(text);
+    if (value && !value->isObject()) value.reset();
     return value;
 }
 
-std::string compact_json(const Json::Value& value) {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 std::optional<revision_id> parse_revision(const Json::Value& value) {
     const auto& revision = value["revision"];
     if (!revision.isUInt64()) return std::nullopt;
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -315,6 +315,12 @@
     return WEXITSTATUS(status);
 }
 
+bool child_process::running() const {
+    siginfo_t info{};
+    return ::waitid(P_PID, static_cast<id_t>(id_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == 0;
+}
+
 void child_process::kill() {
     if (id_ <= 0) return;
     ::kill(id_, SIGKILL);
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -104,6 +104,8 @@
     /// @brief Waits for the process to end.
     /// @return Exit status, or nothing when the process still runs or was ended by a signal.
     std::optional<int> wait(time_ms timeout);
+    /// @brief Whether the process has not ended.
+    [[nodiscard]] bool running() const;
     /// @brief Ends the process with SIGKILL and waits for it.
     void kill();
     /// @brief Content of the log file.
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -20,6 +20,7 @@
 constexpr int first_port = 23000;
 constexpr int ports_per_vm = 10;
 constexpr int store_port = first_port - 1;
+constexpr int store_server_port = first_port - 2;
 
 Json::Value parse_json(const std::string& text) {
     Json::Value value;
@@ -55,8 +56,10 @@
         throw std::runtime_error("cannot create a temporary folder from " + pattern);
     folder_ = pattern;
     store_server_ = std::make_unique<http_server>(
-        context_.get_executor(), fmt::format("{}:{}", host_, store_port), http_limits{},
+        context_.get_executor(), fmt::format("{}:{}", host_, store_server_port), http_limits{},
         [this](http_request request) { return handle_store_request(std::move(request)); });
+    store_proxy_ = std::make_unique<silencing_proxy>(context_, fmt::format("{}:{}", host_, store_port),
+                                                     fmt::format("{}:{}", host_, store_server_port));
     thread_ = std::thread([this] { context_.run(); });
     vms_.resize(vm_count);
     for (std::size_t i = 0; i < vm_count; ++i)
@@ -131,6 +134,24 @@
     history_[kind].push_back({revision_, object, false});
 }
 
+void platform_stand_in::put_raw_object(const std::string& kind, const std::string& name,
+                                       const std::string& raw_spec) {
+    {
+        const std::lock_guard lock(mutex_);
+        raw_specs_[fmt::format("\"raw {} {}\"", kind, name)] = raw_spec;
+    }
+    put_object(kind, name, fmt::format("{{\"raw\":\"raw {} {}\"}}", kind, name));
+}
+
+std::string platform_stand_in::with_raw_specs(std::string text) const {
+    for (const auto& [placeholder, spec] : raw_specs_) {
+        const auto member = "{\"raw\":" + placeholder + "}";
+        for (auto at = text.find(member); at != std::string::npos; at = text.find(member, at + spec.size()))
+            text.replace(at, member.size(), spec);
+    }
+    return text;
+}
+
 void platform_stand_in::delete_object(const std::string& kind, const std::string& name) {
     const std::lock_guard lock(mutex_);
     auto object = objects_[kind][name];
@@ -153,7 +174,7 @@
         body["items"].append(object);
     body["hasMore"] = false;
     body["asOf"] = Json::UInt64(revision_);
-    return make_response(200, json_text(body));
+    return make_response(200, with_raw_specs(json_text(body)));
 }
 
 http_response platform_stand_in::list_events(const std::string& kind, std::uint64_t after_revision) {
@@ -168,7 +189,7 @@
         body["events"].append(event);
     }
     body["asOf"] = Json::UInt64(revision_);
-    return make_response(200, json_text(body));
+    return make_response(200, with_raw_specs(json_text(body)));
 }
 
 asio::awaitable<http_response> platform_stand_in::handle_store_request(http_request request) {
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "deployment.h"
+#include "silencing_proxy.h"
 
 #include "transport/http_server.h"
 
@@ -32,12 +33,18 @@
     /// @brief Creates or replaces a stored object.
     /// @param spec JSON text of the object's spec.
     void put_object(const std::string& kind, const std::string& name, const std::string& spec);
+    /// @brief Creates or replaces an object as another writer may have left it.
+    /// @param raw_spec Text of the spec, which need not be readable JSON.
+    void put_raw_object(const std::string& kind, const std::string& name, const std::string& raw_spec);
     void delete_object(const std::string& kind, const std::string& name);
     /// @brief State of the version move of a service; empty when the VMs have written none.
     [[nodiscard]] std::string version_move_state(const std::string& service);
     /// @brief While set, the store closes connections without an answer.
     std::atomic<bool> store_down{false};
 
+    /// @brief Silences the connections to the store that are open now; new ones work.
+    void silence_store_connections() { store_proxy_->silence(); }
+
     /// @brief Starts an endpoint in the zone north and registers it in the store.
     void add_endpoint(const std::string& id, const std::string& service, const std::string& version = "v1");
     /// @brief Number of requests that an endpoint has executed or begun to execute.
@@ -71,6 +78,7 @@
     static constexpr int peer_port_offset = 3;
 
     [[nodiscard]] std::string address(std::size_t vm, int port_offset) const;
+    [[nodiscard]] std::string with_raw_specs(std::string text) const;
     boost::asio::awaitable<http_response> handle_store_request(http_request request);
     boost::asio::awaitable<http_response> handle_endpoint_request(std::string id, std::string version,
                                                                   http_request request);
@@ -88,10 +96,13 @@
     std::map<std::string, std::map<std::string, Json::Value>> objects_;
     std::map<std::string, std::vector<change_event>> history_;
     std::map<std::string, int> execution_counts_;
+    // Texts that replace the specs of objects in answers, by the placeholder that stands for each.
+    std::map<std::string, std::string> raw_specs_;
 
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::unique_ptr<http_server> store_server_;
+    std::unique_ptr<silencing_proxy> store_proxy_;
     std::vector<std::unique_ptr<http_server>> endpoints_;
     std::thread thread_;
     std::filesystem::path folder_;
--- /dev/null
+++ b/tests/system/platform_trouble_test.cpp
@@ -0,0 +1,124 @@
+// Guards the platform's interface against a store that goes silent, lags or holds odd entries, and against
+// VMs that are suspended (issue 28).
+#include "platform_stand_in.h"
+
+#include "platform/dialect.h"
+#include "transport/monotonic_clock.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <csignal>
+
+using namespace lacewing;
+using namespace lacewing::testing;
+
+namespace {
+
+/// Bound on the time until a confirmed change is in force, as on the smallest deployment of the users.
+constexpr time_ms apply_bound{2'000};
+
+header_list request_headers(const std::string& id, const std::string& key) {
+    const auto& names = platform::dialect;
+    return {{std::string(names.attempt_id), id},
+            {std::string(names.deadline), "1000"},
+            {std::string(names.key), key}};
+}
+
+int status_with_key(const platform_stand_in& platform, std::size_t vm, const std::string& key) {
+    return static_cast<int>(
+        send_request(platform.caller_address(vm), "GET", "/read/x", request_headers("id", key)).status);
+}
+
+bool in_force(const platform_stand_in& platform, std::size_t vms, const std::string& key) {
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        if (status_with_key(platform, vm, key) != 200) return false;
+    }
+    return true;
+}
+
+std::string nested(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+TEST_CASE("platform trouble: an odd entry of another writer ends the VMs or hides the other entries") {
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    const std::string endpoint = R"({"service":"s","zone":"north","version":"v1","state":"ready",)";
+    int number = 0;
+    for (const auto& spec :
+         {nested(2'000), nested(200'000), std::string("1e999"), std::string(R"("\ud800")"),
+          std::string("null"), std::string("[]"), std::string("\"text\""), std::string("-7"),
+          endpoint + R"("slots":8,"address":"127.0.0.1:70000"})",
+          endpoint + R"("slots":8,"address":"127.0.0.1:99999999999999999999"})",
+          endpoint + R"("slots":8,"address":"127.0.0.1:-1"})", endpoint + R"("slots":8,"address":{"a":1}})",
+          endpoint + R"("slots":1e300,"address":"127.0.0.1:80"})",
+          endpoint + R"("slots":99999999999999999999999,"address":"127.0.0.1:80"})",
+          endpoint + R"("slots":8,"address":"127.0.0.1:80","born":1e30})",
+          endpoint + R"("slots":8,"address":"127.0.0.1:80","warmupLeft":"1e400s"})",
+          endpoint + R"("slots":8,"address":"127.0.0.1:80","x":)" + nested(3'000) + "}"}) {
+        CAPTURE(spec.substr(0, 120));
+        for (const auto* kind : {"servers", "rollouts", "evacuations", "entryvms"})
+            platform.put_raw_object(kind, fmt::format("odd-{}", ++number), spec);
+        // The entries behind the odd one are followed.
+        const auto id = fmt::format("e-{}", number + 100);
+        platform.add_endpoint(id, "s");
+        REQUIRE(wait_until([&] {
+            for (std::size_t vm = 0; vm < 2; ++vm)
+                send_request(platform.caller_address(vm), "GET", "/read/x", request_headers("id", "key"));
+            return platform.execution_count(id) > 0;
+        }));
+        platform.delete_object("servers", id);
+    }
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        CHECK(platform.vm_process(vm).running());
+    // A VM that starts now reads a list with all odd entries.
+    platform.vm_process(0).signal(SIGKILL);
+    platform.start_vm(0);
+    REQUIRE(platform.wait_all_ready());
+    CHECK(status_with_key(platform, 0, "key") == 200);
+}
+
+TEST_CASE("platform trouble: an entry that has become unreadable is still used as an endpoint") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    platform.add_endpoint("e-1", "s");
+    platform.add_endpoint("e-2", "s");
+    REQUIRE(platform.wait_all_ready());
+    platform.put_raw_object("servers", "e-1", nested(5'000));
+    int executions = 0;
+    CHECK(wait_until([&] {
+        executions = platform.execution_count("e-1");
+        for (int i = 0; i < 10; ++i)
+            CHECK(status_with_key(platform, 0, "key") == 200);
+        return platform.execution_count("e-1") == executions;
+    }));
+}
+
+TEST_CASE("platform trouble: an invalid configuration replaces a valid one") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    for (const auto* spec :
+         {R"({"version":"r2"})", R"({"version":"r3","routes":{}})", R"({"version":"r4","routes":"x"})",
+          R"({"version":"r5","routes":[{"name":"a"}]})", R"({"version":"r6","routes":[],"tenants":7})", "[]",
+          "null", "1e999", R"({"version":"r99999999999999999999999","routes":[]})"}) {
+        CAPTURE(spec);
+        platform.put_raw_object("config", "main", spec);
+        platform.add_endpoint("probe", "s");
+        // Once the endpoint that was added later is in use, the configuration before it has been read.
+        REQUIRE(wait_until([&] {
+            CHECK(status_with_key(platform, 0, "key") == 200);
+            return platform.execution_count("probe") > 0;
+        }));
+        platform.delete_object("servers", "probe");
+    }
+    CHECK(platform.vm_process(0).running());
+    platform.put_object("config", "main", platform_stand_in::configuration(9, "next"));
+    CHECK(wait_until([&] { return in_force(platform, 1, "next"); }, apply_bound));
+}
