Ignore events of a watch that the copy of the store already covers

What callers could see: an endpoint that has left, a key that was withdrawn or a drain that has ended is in force again at one VM, for good.

Class: a late answer applied to a newer state.

--- a/src/gateway/object_copy.cpp
+++ b/src/gateway/object_copy.cpp
@@ -35,8 +35,11 @@
 object_changes object_copy::apply_events(const platform::object_page& page) {
     object_changes changes;
     changes.applied = true;
+    const auto covered = as_of_;
     for (const auto& event : page.entries) {
         const auto known = revisions_.find(event.name);
+        // The event of a deletion may have the revision of the deleted object.
+        if (!event.deleted && event.revision <= covered) continue;
         if (known != revisions_.end() && event.revision < known->second) continue;
         std::erase(changes.changed, event.name);
         std::erase(changes.removed, event.name);
--- a/src/gateway/object_copy.h
+++ b/src/gateway/object_copy.h
@@ -26,7 +26,8 @@
 public:
     /// @brief Replaces the objects by a list unless the copy is newer.
     object_changes apply_list(platform::object_page page);
-    /// @brief Applies the events of a watch.
+    /// @brief Applies the events of a watch. Those that the copy already covers are ignored: the object of an
+    /// old event may have been deleted since.
     object_changes apply_events(const platform::object_page& page);
     /// @brief Replaces the objects by another VM's copy if that is newer.
     /// @param text JSON from snapshot().
--- /dev/null
+++ b/tests/object_copy_test.cpp
@@ -0,0 +1,167 @@
+#include "gateway/object_copy.h"
+#include "state/error_kind.h"
+#include "state/json_text.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace lacewing;
+
+namespace {
+
+platform::object_page::entry entry(const std::string& name, std::uint64_t revision, bool deleted = false) {
+    Json::Value object;
+    object["metadata"]["name"] = name;
+    object["metadata"]["revision"] = Json::UInt64(revision);
+    object["spec"]["revision"] = Json::UInt64(revision);
+    return *platform::make_entry(object, deleted);
+}
+
+platform::object_page page(std::uint64_t as_of, std::vector<platform::object_page::entry> entries) {
+    platform::object_page made;
+    made.as_of = as_of;
+    made.entries = std::move(entries);
+    return made;
+}
+
+std::set<std::string> names(const object_copy& copy) {
+    std::set<std::string> found;
+    for (const auto& [name, object] : copy.objects())
+        found.insert(name);
+    return found;
+}
+
+/// A store with its whole history, and VMs whose copies of it are updated in any order.
+struct store_with_copies {
+    explicit store_with_copies(std::uint64_t seed) : random(seed), copies(3) {}
+
+    platform::object_page watch_from(std::uint64_t after) {
+        auto events = page(revision, {});
+        for (const auto& event : history) {
+            if (event.revision > after) events.entries.push_back(event);
+        }
+        return events;
+    }
+
+    platform::object_page list() {
+        auto objects = page(revision, {});
+        for (const auto& [name, at] : stored)
+            objects.entries.push_back(entry(name, at));
+        return objects;
+    }
+
+    void change_any_object() {
+        const std::string name(1, static_cast<char>('a' + random() % 6));
+        const bool remove = stored.contains(name) && random() % 2 == 0;
+        history.push_back(entry(name, ++revision, remove));
+        if (remove) {
+            stored.erase(name);
+        } else {
+            stored[name] = revision;
+        }
+    }
+
+    void update_any_copy() {
+        const auto index = random() % copies.size();
+        auto& copy = copies[index];
+        switch (random() % 5) {
+        case 0:
+            late_watches.emplace_back(index, watch_from(copy.as_of()));
+            break;
+        case 1:
+            copy.apply_snapshot(copies[random() % copies.size()].snapshot());
+            break;
+        case 2:
+            copy.apply_list(list());
+            break;
+        case 3:
+            copy.apply_events(watch_from(copy.as_of()));
+            break;
+        default:
+            if (late_watches.empty()) break;
+            copies[late_watches.back().first].apply_events(late_watches.back().second);
+            late_watches.pop_back();
+        }
+    }
+
+    std::mt19937_64 random;
+    std::uint64_t revision = 1;
+    std::map<std::string, std::uint64_t> stored;
+    std::vector<platform::object_page::entry> history;
+    std::vector<object_copy> copies;
+    /// Answers of watches that are on their way, by copy.
+    std::vector<std::pair<std::size_t, platform::object_page>> late_watches;
+};
+
+} // namespace
+
+// Guards against issue 28: a watch that was answered before a snapshot of another VM arrived is applied after
+// it, and an endpoint that has left, or a drain that has ended, is back for good.
+TEST_CASE("object copy: a late watch brings back what was deleted meanwhile") {
+    object_copy copy;
+    copy.apply_list(page(10, {entry("old", 5)}));
+    object_copy ahead;
+    ahead.apply_list(page(20, {entry("old", 5), entry("new", 18)}));
+    CHECK(copy.apply_snapshot(ahead.snapshot()).applied);
+    const auto late = copy.apply_events(page(15, {entry("left", 12)}));
+    CHECK(late.changed.empty());
+    CHECK(names(copy) == std::set<std::string>{"new", "old"});
+    CHECK(copy.as_of() == 20);
+}
+
+TEST_CASE("object copy: updates in any order leave a copy that differs from the store") {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        store_with_copies store(seed);
+        for (auto& copy : store.copies)
+            copy.apply_list(store.list());
+        for (int step = 0; step < 200; ++step) {
+            store.change_any_object();
+            store.update_any_copy();
+        }
+        for (auto& copy : store.copies) {
+            copy.apply_events(store.watch_from(copy.as_of()));
+            std::map<std::string, std::uint64_t> known;
+            for (const auto& [name, object] : copy.objects())
+                known[name] = object["spec"]["revision"].asUInt64();
+            CHECK(known == store.stored);
+        }
+    }
+}
+
+TEST_CASE("object copy: an older list or snapshot replaces a newer copy") {
+    object_copy copy;
+    copy.apply_list(page(10, {entry("a", 9)}));
+    CHECK_FALSE(copy.apply_list(page(9, {entry("b", 8)})).applied);
+    object_copy behind;
+    behind.apply_list(page(8, {entry("c", 7)}));
+    CHECK_FALSE(copy.apply_snapshot(behind.snapshot()).applied);
+    CHECK(names(copy) == std::set<std::string>{"a"});
+}
+
+TEST_CASE("object copy: a deletion is lost, or deletes an object that was created again") {
+    object_copy copy;
+    copy.apply_list(page(10, {entry("a", 9), entry("b", 8)}));
+    // The event may have the revision of the deletion or that of the object.
+    CHECK(copy.apply_events(page(12, {entry("a", 9, true), entry("b", 12, true)})).removed.size() == 2);
+    copy.apply_events(page(15, {entry("a", 15)}));
+    CHECK(copy.apply_events(page(16, {entry("a", 9, true)})).removed.empty());
+    CHECK(names(copy) == std::set<std::string>{"a"});
+}
+
+TEST_CASE("object copy: a malformed snapshot is applied") {
+    object_copy copy;
+    copy.apply_list(page(10, {entry("a", 9)}));
+    for (const auto* text :
+         {"", "[]", "{}", R"({"as_of":20,"known":true})", R"({"as_of":-1,"known":true,"items":[]})",
+          R"({"as_of":20,"known":true,"items":[7]})",
+          R"({"as_of":20,"known":true,"items":[{"metadata":{}}]})"})
+        CHECK_THROWS_AS(copy.apply_snapshot(text), error);
+    CHECK(names(copy) == std::set<std::string>{"a"});
+}
