Notice store connections that have gone silent, and catch up with VMs that have not

Cause: when open connections to the store go silent for good, without a reset, a watch was noticed 3.3 s later; the retry followed after a pause and could take another silent connection from the pool, for 3.3 s more. That is longer than the smallest 'stability' of the users' sites (3 s). Class: a dead connection that is recognised only by a time limit longer than the promise that rests on it, and a fallback that was never run in the case it is for.

Change: watches wait 0.9 s at a VM alone and a random time of up to 4.1 s with more VMs, so the first ones of a fleet notice soon and the others catch up with those; a time-out drops all pooled connections; the first retry goes out at once. coordination/catch_up ends a wait only by the own copy. The registrations of VMs, which the reports carry as well, are watched for 5 s at a time.

--- a/src/coordination/catch_up.cpp
+++ b/src/coordination/catch_up.cpp
@@ -9,11 +9,7 @@
         missing_.erase(found);
         found = missing_.end();
     }
-    if (reported <= own) {
-        finished(kind);
-        missing_.erase(kind);
-        return false;
-    }
+    if (reported <= own) return false;
     if (found == missing_.end()) found = missing_.try_emplace(kind, missing_change{reported, now}).first;
     auto& missing = found->second;
     if (missing.fetching || now - missing.since < delay) return false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -452,6 +452,7 @@
         const auto now = monotonic_now();
         fleet_.remove_silent(now);
         pool_.close_expired(now);
+        mirror_.set_live_vms(fleet_.alive_vm_count(now));
         const auto known = fleet_.known_vm_count();
         limiter_.set_fleet(known, fleet_.alive_vm_count(now), fleet_.in_majority(now));
         if (known > 1) repeats_.set_fleet(known);
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -4,6 +4,7 @@
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewing {
@@ -13,12 +14,14 @@
 namespace {
 
 constexpr time_ms list_timeout{1500};
-// The store ends a watch without events after watch_wait, which shows that the connection works; one that
-// went silent is detected after watch_wait + watch_grace. A new connection must then bring a change within
-// the bounds on configurations and leaving endpoints, which are 2 s and more (INV-9), and the whole must stay
-// below min_lapsing_outage.
-constexpr time_ms watch_wait{2500};
-constexpr time_ms watch_grace{800};
+// The store ends a watch without events after its wait, which shows that the connection works; one that went
+// silent is detected watch_grace later. Each wait is random, so that of many VMs whose connections go silent
+// at the same moment the first ones notice soon; the others catch up with those. A VM alone waits
+// min_watch_wait.
+constexpr time_ms min_watch_wait{900};
+constexpr time_ms watch_wait_per_vm{400};
+constexpr time_ms max_watch_wait{4100};
+constexpr time_ms watch_grace{400};
 // For kinds whose changes the reports of the VMs carry as well.
 constexpr time_ms relaxed_watch_wait{5000};
 // Pause after a failed call: calls to a store that does not answer are billed too.
@@ -57,11 +60,16 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+time_ms store_mirror::watch_wait(const std::string& kind) {
+    if (relaxed_kinds_.contains(kind)) return relaxed_watch_wait;
+    const auto longest = std::min(max_watch_wait, min_watch_wait + watch_wait_per_vm * (live_vms_ - 1));
+    std::uniform_int_distribution<std::int64_t> wait(min_watch_wait.count, longest.count);
+    return {wait(random_)};
+}
+
 asio::awaitable<platform::page_result> store_mirror::fetch(std::string kind, bool must_list) {
     if (must_list) co_return co_await store_.list(kind, list_timeout);
-    co_return co_await store_.watch(kind, kinds_[kind].as_of(),
-                                    relaxed_kinds_.contains(kind) ? relaxed_watch_wait : watch_wait,
-                                    watch_grace);
+    co_return co_await store_.watch(kind, kinds_[kind].as_of(), watch_wait(kind), watch_grace);
 }
 
 // Lists a kind, then watches it; lists it again when the store no longer has the events after the known
@@ -69,14 +77,17 @@
 asio::awaitable<void> store_mirror::list_and_watch(std::string kind) {
     auto& copy = kinds_[kind];
     bool must_list = true;
+    bool failed_before = false;
     for (;;) {
         auto result = co_await fetch(kind, must_list);
         const auto now = monotonic_now();
         if (const auto* problem = std::get_if<platform::call_failed>(&result)) {
             on_failure(now, kind, problem->reason);
-            co_await wait_random(min_retry_pause, max_retry_pause);
+            // The first retry tells a silent connection from a store that is away.
+            if (std::exchange(failed_before, true)) co_await wait_random(min_retry_pause, max_retry_pause);
             continue;
         }
+        failed_before = false;
         on_success(now);
         if (std::holds_alternative<platform::history_lost>(result)) {
             log(log_level::info, "store_history_lost", {{"kind", kind}, {"revision", copy.as_of()}});
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -6,6 +6,7 @@
 
 #include <json/value.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -50,6 +51,11 @@
     /// @brief Starts listing and watching all kinds.
     void start();
 
+    /// @brief Sets the number of live VMs, including this one, which notice changes for each other.
+    void set_live_vms(std::size_t count) {
+        live_vms_ = static_cast<std::int64_t>(std::max<std::size_t>(1, count));
+    }
+
     /// @brief Objects of a kind by name.
     [[nodiscard]] const std::map<std::string, Json::Value>& objects(const std::string& kind) const;
     /// @brief Whether a kind has been listed, or received from another VM, since the start.
@@ -73,6 +79,7 @@
 private:
     boost::asio::awaitable<void> list_and_watch(std::string kind);
     boost::asio::awaitable<void> wait_random(time_ms min_wait, time_ms max_wait);
+    [[nodiscard]] time_ms watch_wait(const std::string& kind);
     [[nodiscard]] boost::asio::awaitable<platform::page_result> fetch(std::string kind, bool must_list);
     void publish(const std::string& kind, object_changes changes);
     void on_success(time_ms now);
@@ -83,6 +90,7 @@
     platform::object_store& store_;
     std::map<std::string, object_copy> kinds_;
     std::set<std::string> relaxed_kinds_;
+    std::int64_t live_vms_ = 1;
     std::mt19937_64 random_;
     listener on_change_;
     time_ms last_success_{-1'000'000};
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -97,14 +97,18 @@
 http_client::shared_state::exchange(connection_ptr connection, http_request& request, bool reused) {
     error_code write_failure;
     co_await http::async_write(connection->stream, request, await_with_error(write_failure));
-    if (write_failure == beast::error::timeout)
+    if (write_failure == beast::error::timeout) {
+        idle.clear();
         throw_failure(http_failure::timed_out, "sending the request", write_failure);
+    }
     // A server may respond and close before it has read the whole body, so read even after a failed write.
     http::response_parser<http::string_body> parser;
     parser.body_limit(options.max_response_bytes);
     if (request.method() == http::verb::head) parser.skip(true);
     error_code failure;
     co_await http::async_read(connection->stream, connection->buffer, parser, await_with_error(failure));
+    // What has silenced one connection may have silenced the pooled ones as well.
+    if (failure == beast::error::timeout) idle.clear();
     if (failure) {
         const bool no_response_byte = !parser.got_some() && connection->buffer.size() == 0;
         if (reused && no_response_byte && failure != beast::error::timeout) co_return std::nullopt;
--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -17,6 +17,9 @@
 
 /// Bound on the time until a confirmed change is in force, as on the smallest deployment of the users.
 constexpr time_ms apply_bound{2'000};
+/// Time after a disturbance of its connections from which a VM must keep the bounds again, on the same
+/// deployment.
+constexpr time_ms stability{3'000};
 
 header_list request_headers(const std::string& id, const std::string& key) {
     const auto& names = platform::dialect;
@@ -43,6 +46,39 @@
 
 } // namespace
 
+// The connections to the store carry nothing more, are not closed, and new ones work.
+TEST_CASE("platform trouble: a configuration is late because the connections to the store have gone silent") {
+    for (const std::size_t vms : {std::size_t{1}, std::size_t{4}}) {
+        CAPTURE(vms);
+        platform_stand_in platform(vms);
+        platform.put_object("config", "main", platform_stand_in::configuration(1, "old"));
+        platform.add_endpoint("e-1", "s");
+        REQUIRE(platform.wait_all_ready());
+        for (int version = 2; version <= 5; ++version) {
+            CAPTURE(version);
+            const auto key = fmt::format("key-{}", version);
+            platform.silence_store_connections();
+            platform.put_object("config", "main", platform_stand_in::configuration(version, key));
+            CHECK(wait_until([&] { return in_force(platform, vms, key); }, stability));
+            REQUIRE(wait_until([&] { return in_force(platform, vms, key); }));
+        }
+    }
+}
+
+// A VM is suspended, changes are confirmed meanwhile, and its connections are silent when it goes on.
+TEST_CASE("platform trouble: a VM that was suspended keeps an old configuration") {
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "old"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    platform.vm_process(1).signal(SIGSTOP);
+    platform.silence_store_connections();
+    platform.put_object("config", "main", platform_stand_in::configuration(2, "new"));
+    CHECK(wait_until([&] { return in_force(platform, 1, "new"); }, stability));
+    platform.vm_process(1).signal(SIGCONT);
+    CHECK(wait_until([&] { return in_force(platform, 2, "new"); }, stability));
+}
+
 TEST_CASE("platform trouble: an odd entry of another writer ends the VMs or hides the other entries") {
     platform_stand_in platform(2);
     platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
