Test repeated refusals and answers that end in their head at the gateway

On the users' platform neither can happen here: answers are matched by the attempt id that endpoints echo, an error without an id counts only on a new connection, and only an answer whose head is complete may end with its connection.

--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -241,6 +241,55 @@
     }
 }
 
+// Guards against issue 28: an endpoint writes an earlier refusal once more on a kept connection, and a
+// request that it runs counts as not run.
+TEST_CASE("endpoint attempt: an earlier refusal that is repeated counts for the next request") {
+    const auto refusal = [](int status, std::string_view id_line) {
+        return fmt::format("HTTP/1.1 {} No\r\n{}X-Lacewingplank-Not-Executed: 1\r\nRetry-After: 1\r\n"
+                           "Content-Length: 2\r\n\r\nno",
+                           status, id_line);
+    };
+    for (const int status : {503, 429, 421, 408, 400}) {
+        for (const auto* id_line :
+             {"X-Lacewingplank-Attempt-Id: a0\r\n", "X-Lacewingplank-Attempt-Id: \r\n", ""}) {
+            CAPTURE(status);
+            CAPTURE(id_line);
+            const auto earlier = refusal(status, id_line);
+            const auto first = refusal(status, "X-Lacewingplank-Attempt-Id: a1\r\n");
+            // The copy arrives before the answer of the second request, or instead of it.
+            attempt_fixture before({{first}, {earlier + answer("own")}});
+            CHECK(before.run().outcome == attempt_end::not_run);
+            const auto result = before.run();
+            REQUIRE(before.endpoint.connections == 1);
+            CHECK(result.outcome != attempt_end::not_run);
+            CHECK_FALSE(result.unsent);
+            if (result.answer) CHECK(result.answer->body == "own");
+            attempt_fixture instead({{first}, {earlier}});
+            CHECK(instead.run().outcome == attempt_end::not_run);
+            CHECK(instead.run().outcome != attempt_end::not_run);
+        }
+    }
+}
+
+// Guards against issue 28: an endpoint stops within the head of its answer, and callers get a short body that
+// looks whole.
+TEST_CASE("endpoint attempt: an answer that ends in its head counts as complete") {
+    for (const auto framing : {body_framing::length, body_framing::chunks, body_framing::close}) {
+        const auto whole = framed_answer(framing, "0123456789");
+        const auto head_bytes = whole.find("\r\n\r\n") + 4;
+        for (std::size_t cut = 0; cut < head_bytes; ++cut) {
+            for (const bool reset : {false, true}) {
+                CAPTURE(cut);
+                attempt_fixture fixture({{whole.substr(0, cut), !reset, reset}});
+                const auto result = fixture.run();
+                CHECK(result.outcome == attempt_end::broken);
+                CHECK_FALSE(result.answer);
+                CHECK_FALSE(result.streamed);
+            }
+        }
+    }
+}
+
 TEST_CASE("endpoint attempt: an answer without a length is lost, or its connection is reused") {
     attempt_fixture fixture(
         {{"HTTP/1.1 200 OK\r\nX-Lacewingplank-Attempt-Id: a1\r\n\r\nto the end", true}, {answer("next")}});
