Judge a moved version by sequential tests before it gains share

Cause: the move gained share without evidence. (1) A stage ended after a number of answers, or at a part of the time limit, whatever they showed. (2) An answer counted when it arrived, so the quick ones of a stage hid the slow ones that were still running; answers of cold endpoints counted although they were not timed. (3) 'Bad' meant an excess of 25 points among at least five slow answers, which a version that is slow on 30 % of its requests often misses. (4) The usual latency was learned from answers that had queued, too. Class: absence of evidence taken for evidence.

Change: coordination/version_judge compares the rates of failures and of slow answers by log likelihood ratios and has three verdicts. Share grows on the verdict 'good', or while a bad version would stay within the exposure that the site allows; a version that cannot be judged in time is reverted, with its evidence in the log. A request counts as slow as soon as it has run for 1.5 times the usual latency, and as quick only at that same age. Timed requests are counted apart. With little traffic the first stage takes the share that lets the version be judged.

The test fleet now hands out answers when they arrive.

--- a/src/coordination/version_evaluator.cpp
+++ b/src/coordination/version_evaluator.cpp
@@ -1,5 +1,7 @@
 #include "coordination/version_evaluator.h"
 
+#include "coordination/sequential_test.h"
+
 #include <algorithm>
 #include <bit>
 #include <cmath>
@@ -73,7 +75,7 @@
     const auto bad_rate = std::min(std::max(3 * good_rate, good_rate + margin), (1 + good_rate) / 2);
     const auto errors = static_cast<double>(new_version.errors);
     const auto successes = static_cast<double>(new_version.requests - new_version.errors);
-    return errors * std::log(bad_rate / good_rate) + successes * std::log((1 - bad_rate) / (1 - good_rate));
+    return rate_llr(errors, successes, good_rate, bad_rate);
 }
 
 } // namespace
--- /dev/null
+++ b/src/coordination/version_judge.cpp
@@ -0,0 +1,130 @@
+#include "coordination/version_judge.h"
+
+#include "coordination/sequential_test.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace {
+
+/// Rates that a sequential test tells apart.
+struct test_rates {
+    /// The lower rate is that of the other versions, but not below this: with few answers, a lower one cannot
+    /// be estimated, and endpoints that have just started do a little worse.
+    double min_low_rate;
+    /// Smallest excess over the other versions that should be detected.
+    double margin;
+    /// Log likelihood ratio below which the target has no such excess.
+    double good_llr;
+};
+
+// By Wald's bounds, a version with the smallest excess is found good with a probability of 8 % and 3 %.
+// Versions that fail do so in a larger part of their answers.
+constexpr test_rates failure_rates{0.02, 0.12, -2.5};
+constexpr test_rates slow_rates{0.05, 0.15, -3.5};
+constexpr double max_low_rate = 0.7;
+// By Wald's bound, a good version is found bad with a probability of 0.5 %.
+constexpr double bad_llr = 5.3;
+// Failures, or slow answers, without which no route is bad.
+constexpr std::uint64_t min_failures = 3;
+constexpr std::uint64_t min_slow_answers = 5;
+// A route is bad also without the sequential test when five answers failed (or were slow) and their rate
+// exceeds that of the other versions by the given difference. The test cannot tell rates apart where the
+// others fail often.
+constexpr std::uint64_t min_events_for_excess = 5;
+constexpr double min_failure_rate_excess = 0.12;
+constexpr double min_slow_rate_excess = 0.25;
+
+double ratio(std::uint64_t part, std::uint64_t whole) {
+    return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+// Log likelihood ratio of a rate above that of the other versions, given the target's counts.
+double excess_llr(std::uint64_t events, std::uint64_t trials, double others_rate, const test_rates& rates) {
+    const double low = std::clamp(others_rate, rates.min_low_rate, max_low_rate);
+    const auto hits = static_cast<double>(events);
+    return rate_llr(hits, static_cast<double>(trials) - hits, low, low + rates.margin);
+}
+
+bool has_clear_excess(std::uint64_t events, double rate, double others_rate, double min_excess) {
+    return events >= min_events_for_excess && rate > others_rate + min_excess;
+}
+
+// Count since an earlier state; 0 where a count fell, because a VM that restarts counts from zero.
+std::uint64_t increase(std::uint64_t later, std::uint64_t earlier) {
+    return later > earlier ? later - earlier : 0;
+}
+
+} // namespace
+
+version_judgement judge_version(const service_outcomes& outcomes) {
+    version_judgement judgement;
+    for (const auto& [route, compared] : outcomes) {
+        const auto& target = compared.target;
+        const auto& others = compared.others;
+        const auto timed = std::max(target.timed, target.slow);
+        const double others_failure_rate = ratio(others.failed, others.answered);
+        const double others_slow_rate = ratio(others.slow, std::max(others.timed, others.slow));
+        const double failure_llr =
+            excess_llr(target.failed, target.answered, others_failure_rate, failure_rates);
+        const double slow_llr = excess_llr(target.slow, timed, others_slow_rate, slow_rates);
+        judgement.failure_llr += failure_llr;
+        judgement.slow_llr += slow_llr;
+        const bool fails = (failure_llr >= bad_llr && target.failed >= min_failures) ||
+                           has_clear_excess(target.failed, ratio(target.failed, target.answered),
+                                            others_failure_rate, min_failure_rate_excess);
+        const bool slow =
+            (slow_llr >= bad_llr && target.slow >= min_slow_answers) ||
+            has_clear_excess(target.slow, ratio(target.slow, timed), others_slow_rate, min_slow_rate_excess);
+        if (!(fails || slow) || judgement.verdict == version_verdict::bad) continue;
+        judgement.verdict = version_verdict::bad;
+        judgement.reason =
+            fmt::format("route {}: {} of {} answers failed, {} of {} slow; old version {} of {} failed, "
+                        "{} of {} slow",
+                        route, target.failed, target.answered, target.slow, timed, others.failed,
+                        others.answered, others.slow, others.timed);
+    }
+    if (judgement.verdict == version_verdict::bad) return judgement;
+    if (judgement.failure_llr <= failure_rates.good_llr && judgement.slow_llr <= slow_rates.good_llr)
+        judgement.verdict = version_verdict::good_enough;
+    return judgement;
+}
+
+service_outcomes target_outcomes_since(const service_outcomes& before, const service_outcomes& now) {
+    service_outcomes result = now;
+    for (auto& [route, compared] : result) {
+        const auto found = before.find(route);
+        if (found == before.end()) continue;
+        const auto& earlier = found->second.target;
+        auto& target = compared.target;
+        target = {increase(target.answered, earlier.answered), increase(target.failed, earlier.failed),
+                  increase(target.timed, earlier.timed), increase(target.slow, earlier.slow)};
+    }
+    return result;
+}
+
+version_tally target_total(const service_outcomes& outcomes) {
+    version_tally total;
+    for (const auto& [route, compared] : outcomes)
+        add(total, compared.target);
+    return total;
+}
+
+std::uint64_t answered_total(const service_outcomes& outcomes) {
+    std::uint64_t total = 0;
+    for (const auto& [route, compared] : outcomes)
+        total += compared.target.answered + compared.others.answered;
+    return total;
+}
+
+void add(version_tally& to, const version_tally& from) {
+    to.answered += from.answered;
+    to.failed += from.failed;
+    to.timed += from.timed;
+    to.slow += from.slow;
+}
+
+} // namespace lacewing
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -19,9 +20,8 @@
     double min_duration_fraction;
     /// Answers of the target version needed in this stage.
     std::uint64_t min_answers;
-    /// Time since the order, as a fraction of the move's duration, after which the stage ends with fewer
-    /// answers unless the version was found bad. At such low traffic, the limit on requests to a bad version
-    /// is kept anyway.
+    /// Time since the order, as a fraction of the move's duration, after which the stage ends with less
+    /// evidence of its own, if the target is good by all evidence or its exposure stays within the limit.
     double forced_end_fraction;
 };
 
@@ -29,52 +29,59 @@
 // faults that appear only under load.
 constexpr std::array<move_stage, 4> stages{
     {{0.05, 0.15, 4, 0.25}, {0.15, 0.12, 8, 0.45}, {0.40, 0.12, 12, 0.65}, {1.0, 0.12, 16, 0.80}}};
-// The target version is bad when it has at least this many failed (or slow) answers and its rate of them
-// exceeds that of the other versions by the given difference.
-constexpr std::uint64_t min_failures = 3;
-constexpr double min_failure_rate_excess = 0.12;
-constexpr std::uint64_t min_slow_answers = 5;
-constexpr double min_slow_rate_excess = 0.25;
+// Log likelihood ratios that a stage after the first needs on its own, in favour of the target.
+constexpr double stage_llr = -1;
+// Log likelihood ratio up to which a target that is not judged may go on if its exposure stays within the
+// limit; one slow answer among few is no more.
+constexpr double max_llr_without_verdict = 1.5;
+// With this many timed answers, a target must look good in the end, and not only not bad.
+constexpr std::uint64_t min_timed_to_lean = 15;
+// Answers that usually suffice to judge a version, and the part of the move's duration that is spent on them.
+constexpr double answers_to_judge = 40;
+constexpr double judging_fraction = 0.35;
+// Largest share of the first stage: little traffic allows more by the limit on exposure, but then a bad
+// version would be most of what some callers see.
+constexpr double max_first_share = 0.3;
+// Part of the limit on exposure that a move plans with; the rest is for requests in flight and for traffic
+// that falls.
+constexpr double exposure_margin = 0.8;
+// A target that is not completed at this part of the duration is completed or reverted by what is known, so
+// that the write is in time.
+constexpr double decision_fraction = 0.92;
+// Part of the limit on exposure for that last decision, after which little traffic is left.
+constexpr double last_exposure_margin = 0.95;
 // An answer is slow above this multiple of the latency that 19 of 20 answers of the old version stay below.
-// Requests for objects that an endpoint has cached take about a third of the time; a version that is eight
-// times as slow exceeds the limit even on those.
-constexpr double slow_factor = 1.8;
+constexpr double slow_factor = 1.5;
 // The same multiple for a request whose caller left. It is lower, because the time waited until then is only
 // a lower bound of the latency.
 constexpr double abandoned_factor = 1.2;
 constexpr double baseline_quantile = 0.95;
-// Step of the quantile estimate per answer, relative to the estimate. It follows a change within a few dozen
-// answers.
-constexpr double baseline_quantile_step = 0.05;
-// Answers of the old version before its quantile estimate is used; until then, the estimate is the longest
-// latency. A VM whose first answers were all quick sets it too low, but the other VMs outweigh its counts.
-constexpr std::uint64_t min_baseline_answers = 6;
+// Answers of the old version from which the quantile is taken.
+constexpr std::size_t baseline_answers = 64;
+// Answers of the old version before the quantile is used. If most objects are cached, the first few answers
+// are often all quick.
+constexpr std::size_t min_baseline_answers = 12;
 // Without a newer announcement for this long, the announced share is cut to that of the first stage.
 constexpr time_ms announcement_lifetime{2000};
 // Minimum time between two attempts to write the status of a move.
 constexpr time_ms write_retry_interval{700};
 
-double ratio(std::uint64_t part, std::uint64_t whole) {
-    return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+std::string tally_key(const sent_request& request) {
+    return request.service + '/' + request.version + '/' + request.route;
 }
 
-// Outcomes counted since `before`; 0 where a count fell, because a VM that restarts counts from zero.
-version_tally tally_increase(const version_tally& before, const version_tally& now) {
-    const auto increase = [](std::uint64_t later, std::uint64_t earlier) {
-        return later > earlier ? later - earlier : 0;
-    };
-    return {increase(now.answered, before.answered), increase(now.failed, before.failed),
-            increase(now.slow, before.slow)};
+// Whether the evidence points against the target, though it does not suffice to find it bad.
+bool leans_bad(const version_judgement& judgement) {
+    return std::max(judgement.failure_llr, judgement.slow_llr) > max_llr_without_verdict;
 }
 
-void add(version_tally& to, const version_tally& from) {
-    to.answered += from.answered;
-    to.failed += from.failed;
-    to.slow += from.slow;
+// Whether the evidence points to a good target, though it does not suffice to find it good.
+bool leans_good(const version_judgement& judgement) {
+    return std::max(judgement.failure_llr, judgement.slow_llr) < -max_llr_without_verdict;
 }
 
-std::string tally_key(const std::string& service, const std::string& version, const std::string& route) {
-    return service + '/' + version + '/' + route;
+bool is_running(phase state) {
+    return state == phase::ordered || state == phase::active;
 }
 
 } // namespace
@@ -131,7 +138,7 @@
 double version_mover::target_share(time_ms now, const move_state& move) const {
     if (move.order.state == phase::completed) return 1;
     if (move.order.state == phase::reverted || move.judged_bad) return 0;
-    if (move.driven_here) return move.order.state == phase::active ? stages[move.stage].share : 0;
+    if (move.driven_here) return move.order.state == phase::active ? stage_share(now, move) : 0;
     if (now - move.announced_share_at > announcement_lifetime)
         return std::min(move.announced_share, stages[0].share);
     return move.announced_share;
@@ -159,47 +166,89 @@
     return {stable, false};
 }
 
-// Returns whether an answer is slow compared with the baseline of its route. Answers of versions other than
-// the target also update the baseline.
-bool version_mover::record_latency(const std::string& route, bool is_target, double latency_ms) {
-    auto& baseline = baselines_[route];
-    const bool baseline_known = baseline.answer_count >= min_baseline_answers;
-    const bool slow = baseline_known && latency_ms > baseline.p95_ms * slow_factor;
-    if (is_target) return slow;
-    ++baseline.answer_count;
-    if (!baseline_known) {
-        baseline.p95_ms = std::max(baseline.p95_ms, latency_ms);
-    } else {
-        // Stochastic quantile estimate: with steps up by q and down by 1 - q, it settles at the quantile q.
-        const double step = baseline_quantile_step * baseline.p95_ms;
-        baseline.p95_ms +=
-            latency_ms > baseline.p95_ms ? step * baseline_quantile : -step * (1 - baseline_quantile);
-    }
-    return slow;
+void version_mover::latency_estimate::add(double latency_ms) {
+    if (recent_ms.size() == baseline_answers) recent_ms.pop_front();
+    recent_ms.push_back(latency_ms);
+    std::vector<double> sorted(recent_ms.begin(), recent_ms.end());
+    const auto rank = static_cast<std::size_t>(baseline_quantile * static_cast<double>(sorted.size()));
+    const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(std::min(rank, sorted.size() - 1));
+    std::nth_element(sorted.begin(), at, sorted.end());
+    p95_ms = *at;
+}
+
+bool version_mover::latency_estimate::known() const {
+    return recent_ms.size() >= min_baseline_answers;
+}
+
+std::optional<double> version_mover::latency_baseline::p95_ms() const {
+    if (unqueued.known()) return unqueued.p95_ms;
+    if (all.known()) return all.p95_ms;
+    return std::nullopt;
 }
 
-void version_mover::on_outcome(const std::string& service, const std::string& version,
-                               const std::string& route, bool failed, std::optional<double> latency_ms) {
+// Latency above which an answer on a route is slow.
+std::optional<double> version_mover::slow_latency_ms(const std::string& route) const {
+    const auto baseline = baselines_.find(route);
+    const auto usual = baseline == baselines_.end() ? std::nullopt : baseline->second.p95_ms();
+    if (!usual) return std::nullopt;
+    return *usual * slow_factor;
+}
+
+std::optional<time_ms> version_mover::slow_limit(const std::string& service, const std::string& route) const {
     const auto found = moves_.find(service);
-    const bool is_target = found != moves_.end() && version == found->second.order.target_version;
-    const bool slow = latency_ms && record_latency(route, is_target, *latency_ms);
+    if (found == moves_.end() || !is_running(found->second.order.state)) return std::nullopt;
+    const auto limit = slow_latency_ms(route);
+    if (!limit) return std::nullopt;
+    return time_ms{static_cast<std::int64_t>(std::ceil(*limit))};
+}
+
+void version_mover::count_slow(const sent_request& request) {
+    auto& tally = own_tallies_[tally_key(request)];
+    ++tally.timed;
+    ++tally.slow;
+}
+
+void version_mover::on_overdue(const sent_request& request) {
+    count_slow(request);
+}
+
+void version_mover::on_outcome(time_ms now, const sent_request& request, bool failed,
+                               std::optional<answer_timing> timing) {
+    const auto found = moves_.find(request.service);
+    const bool is_target = found != moves_.end() && request.version == found->second.order.target_version;
+    const auto limit = slow_latency_ms(request.route);
+    if (timing && !failed && !is_target) {
+        auto& baseline = baselines_[request.route];
+        baseline.all.add(timing->latency_ms);
+        if (!timing->queued) baseline.unqueued.add(timing->latency_ms);
+    }
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
-    auto& tally = own_tallies_[tally_key(service, version, route)];
+    auto& tally = own_tallies_[tally_key(request)];
     ++tally.answered;
     if (failed) ++tally.failed;
-    if (slow) ++tally.slow;
+    if (!timing || !limit) return;
+    if (timing->latency_ms > *limit) {
+        count_slow(request);
+    } else if (!failed) {
+        const auto left = static_cast<std::int64_t>(std::ceil(*limit - timing->latency_ms));
+        maturing_.emplace(now + time_ms{left}, tally_key(request));
+    }
 }
 
-void version_mover::on_abandoned(const std::string& service, const std::string& version,
-                                 const std::string& route, double waited_ms) {
-    const auto found = moves_.find(service);
+void version_mover::on_abandoned(const sent_request& request, double waited_ms) {
+    const auto found = moves_.find(request.service);
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
-    const auto baseline = baselines_.find(route);
-    if (baseline == baselines_.end() || baseline->second.answer_count < min_baseline_answers) return;
-    if (waited_ms <= baseline->second.p95_ms * abandoned_factor) return;
-    auto& tally = own_tallies_[tally_key(service, version, route)];
-    ++tally.answered;
-    ++tally.slow;
+    const auto limit = slow_latency_ms(request.route);
+    if (!limit || waited_ms * slow_factor <= *limit * abandoned_factor) return;
+    count_slow(request);
+}
+
+// Counts the requests that were answered in time and are now old enough to be compared with slow ones.
+void version_mover::count_matured(time_ms now) {
+    const auto end = maturing_.upper_bound(now);
+    for (auto it = maturing_.begin(); it != end; ++it)
+        ++own_tallies_[it->second].timed;
+    maturing_.erase(maturing_.begin(), end);
 }
 
 void version_mover::on_report(time_ms now, const vm_report& report) {
@@ -214,9 +263,8 @@
     }
 }
 
-std::map<std::string, version_mover::route_outcomes>
-version_mover::outcomes_by_route(const move_state& move) const {
-    std::map<std::string, route_outcomes> outcomes;
+service_outcomes version_mover::outcomes_of(const move_state& move) const {
+    service_outcomes outcomes;
     const auto prefix = move.order.service + '/';
     const auto collect = [&](const std::map<std::string, version_tally>& tallies) {
         for (auto it = tallies.lower_bound(prefix); it != tallies.end() && it->first.starts_with(prefix);
@@ -233,35 +281,41 @@
     return outcomes;
 }
 
-// Whether the target version fails, or answers slowly, clearly more often than the other versions.
-bool version_mover::is_significantly_worse(const route_outcomes& compared) {
-    const double failure_rate = ratio(compared.target.failed, compared.target.answered);
-    const double old_failure_rate = ratio(compared.others.failed, compared.others.answered);
-    const double slow_rate = ratio(compared.target.slow, compared.target.answered);
-    const double old_slow_rate = ratio(compared.others.slow, compared.others.answered);
-    const bool fails =
-        compared.target.failed >= min_failures && failure_rate > old_failure_rate + min_failure_rate_excess;
-    return fails ||
-           (compared.target.slow >= min_slow_answers && slow_rate > old_slow_rate + min_slow_rate_excess);
+// Judges the target by all outcomes, and by those of the stage alone if they show that it is bad.
+version_judgement version_mover::judge(const move_state& move) const {
+    const auto outcomes = outcomes_of(move);
+    auto of_stage = judge_version(target_outcomes_since(move.outcomes_before_stage, outcomes));
+    if (of_stage.verdict == version_verdict::bad) return of_stage;
+    return judge_version(outcomes);
 }
 
-bool version_mover::target_is_bad(const move_state& move, std::string* bad_reason) const {
-    for (const auto& [route, total] : outcomes_by_route(move)) {
-        auto compared = total;
-        const auto before = move.outcomes_before_stage.find(route);
-        if (before != move.outcomes_before_stage.end())
-            compared.target = tally_increase(before->second.target, total.target);
-        if (!is_significantly_worse(compared)) compared = total;
-        if (!is_significantly_worse(compared)) continue;
-        if (bad_reason != nullptr) {
-            *bad_reason = fmt::format(
-                "route {}: {} of {} answers failed, {} slow; old version {} of {} failed, {} slow", route,
-                compared.target.failed, compared.target.answered, compared.target.slow,
-                compared.others.failed, compared.others.answered, compared.others.slow);
-        }
-        return true;
-    }
-    return false;
+// Whether a bad target stays within the limit on its exposure when it gets a share of the requests until the
+// end of the move.
+bool version_mover::exposure_allows(time_ms now, const move_state& move, double share, double margin) const {
+    const auto outcomes = outcomes_of(move);
+    const auto elapsed = static_cast<double>((now - move.order_received_at).count);
+    const auto answered = static_cast<double>(answered_total(outcomes));
+    if (elapsed <= 0) return false;
+    const auto left = std::max(0.0, static_cast<double>(move.order.duration.count) - elapsed);
+    const auto expected = answered * left / elapsed;
+    const auto exposed = static_cast<double>(target_total(outcomes).answered) + share * expected;
+    return exposed <= margin * (exposure_share_ * (answered + expected) + exposure_slack_);
+}
+
+// Share of the target in the current stage. In the first one, a service with little traffic gives the target
+// the share that lets it be judged in time, as far as the limit on its exposure allows.
+double version_mover::stage_share(time_ms now, const move_state& move) const {
+    const double least = stages[move.stage].share;
+    if (move.stage > 0) return std::max(least, move.first_share);
+    const auto outcomes = outcomes_of(move);
+    const auto elapsed = static_cast<double>((now - move.order_received_at).count);
+    if (target_total(outcomes).timed == 0 || elapsed <= 0) return least;
+    const auto requests = static_cast<double>(answered_total(outcomes)) *
+                          static_cast<double>(move.order.duration.count) / elapsed;
+    if (requests <= 0) return least;
+    const double wanted = answers_to_judge / (judging_fraction * requests);
+    const double affordable = exposure_margin * (exposure_share_ + exposure_slack_ / requests);
+    return std::clamp(std::min(wanted, affordable), least, max_first_share);
 }
 
 // Continues at the stage whose share the previous driver announced last.
@@ -274,29 +328,46 @@
 }
 
 void version_mover::enter_stage(time_ms now, move_state& move, std::size_t stage) {
+    if (stage > 0 && move.stage == 0) move.first_share = stage_share(now, move);
     move.stage = stage;
     move.stage_started_at = now;
-    move.outcomes_before_stage = outcomes_by_route(move);
-    move.answers_before_stage = 0;
-    for (const auto& [route, compared] : move.outcomes_before_stage)
-        move.answers_before_stage += compared.target.answered;
+    move.outcomes_before_stage = outcomes_of(move);
+}
+
+// Whether the target has shown enough in its stage to get the share of the next one.
+bool version_mover::stage_passed(time_ms now, const move_state& move, const version_judgement& total) const {
+    const auto& stage = stages[move.stage];
+    const auto duration = static_cast<double>(move.order.duration.count);
+    const auto time_in_stage = static_cast<double>((now - move.stage_started_at).count);
+    const auto time_since_order = static_cast<double>((now - move.order_received_at).count);
+    const bool good = total.verdict == version_verdict::good_enough;
+    const auto outcomes = target_outcomes_since(move.outcomes_before_stage, outcomes_of(move));
+    const auto in_stage = judge_version(outcomes);
+    const bool shown_in_stage =
+        target_total(outcomes).answered >= stage.min_answers &&
+        (move.stage == 0 || std::max(in_stage.failure_llr, in_stage.slow_llr) <= stage_llr);
+    if (good && shown_in_stage && time_in_stage >= duration * stage.min_duration_fraction) return true;
+    if (time_since_order < duration * stage.forced_end_fraction) return false;
+    if (target_total(outcomes_of(move)).answered == 0) return false;
+    const double next_share = move.stage + 1 < stages.size() ? stages[move.stage + 1].share : 1;
+    if (good) return true;
+    return !leans_bad(total) && exposure_allows(now, move, next_share, exposure_margin);
 }
 
 void version_mover::advance_move(time_ms now, move_state& move, std::vector<move_write>& writes) {
-    if (move.order.state == phase::completed || move.order.state == phase::reverted) return;
-    const bool may_write = now - move.last_write_at >= write_retry_interval;
+    if (!is_running(move.order.state)) return;
     const auto request_state = [&](phase state, const std::string& reason) {
-        if (!may_write) return;
+        if (now - move.last_write_at < write_retry_interval) return;
         move.last_write_at = now;
         auto order = move.order;
         order.state = state;
         writes.push_back({order, reason});
     };
-    std::string bad_reason;
-    if (move.judged_bad || target_is_bad(move, &bad_reason)) {
+    const auto judgement = judge(move);
+    if (move.judged_bad || judgement.verdict == version_verdict::bad) {
         move.judged_bad = true;
         request_state(phase::reverted,
-                      bad_reason.empty() ? "target version was found bad earlier" : bad_reason);
+                      judgement.reason.empty() ? "target version was found bad earlier" : judgement.reason);
         return;
     }
     if (move.order.state == phase::ordered) {
@@ -304,32 +375,50 @@
         request_state(phase::active, "ordered");
         return;
     }
-    std::uint64_t answers = 0;
-    for (const auto& [route, compared] : outcomes_by_route(move))
-        answers += compared.target.answered;
-    const auto duration = static_cast<double>(move.order.duration.count);
-    const auto time_in_stage = static_cast<double>((now - move.stage_started_at).count);
+    if (stage_passed(now, move, judgement)) {
+        if (move.stage + 1 < stages.size()) {
+            enter_stage(now, move, move.stage + 1);
+        } else {
+            request_state(phase::completed, describe(move, judgement));
+        }
+        return;
+    }
     const auto time_since_order = static_cast<double>((now - move.order_received_at).count);
-    const auto& stage = stages[move.stage];
-    const bool enough_answers = answers - move.answers_before_stage >= stage.min_answers;
-    const bool stage_complete = time_in_stage >= duration * stage.min_duration_fraction && enough_answers;
-    const bool overdue = time_since_order >= duration * stage.forced_end_fraction && answers > 0;
-    if (!stage_complete && !overdue) return;
-    if (move.stage + 1 < stages.size()) {
-        enter_stage(now, move, move.stage + 1);
+    if (time_since_order < static_cast<double>(move.order.duration.count) * decision_fraction) return;
+    const bool little_traffic = target_total(outcomes_of(move)).timed < min_timed_to_lean;
+    const bool favoured = leans_good(judgement) || (little_traffic && !leans_bad(judgement));
+    if (favoured && exposure_allows(now, move, 1, last_exposure_margin)) {
+        request_state(phase::completed, "time is up: " + describe(move, judgement));
     } else {
-        request_state(phase::completed, fmt::format("{} answers without excess failures", answers));
+        move.judged_bad = true;
+        request_state(phase::reverted, "not judged in time: " + describe(move, judgement));
+    }
+}
+
+std::string version_mover::describe(const move_state& move, const version_judgement& judgement) const {
+    const auto outcomes = outcomes_of(move);
+    const auto target = target_total(outcomes);
+    return fmt::format(
+        "stage {}, {} of {} requests, {} failed, {} of {} timed slow, llr failures {:.1f} slow {:.1f}",
+        move.stage, target.answered, answered_total(outcomes), target.failed, target.slow, target.timed,
+        judgement.failure_llr, judgement.slow_llr);
+}
+
+std::vector<std::pair<std::string, std::string>> version_mover::evidence(time_ms now) const {
+    std::vector<std::pair<std::string, std::string>> texts;
+    for (const auto& [service, move] : moves_) {
+        if (!move.driven_here || !is_running(move.order.state)) continue;
+        texts.emplace_back(
+            service, fmt::format("share {:.2f}, {}", target_share(now, move), describe(move, judge(move))));
     }
+    return texts;
 }
 
-void version_mover::fill(vm_report& report) const {
+void version_mover::fill(time_ms now, vm_report& report) const {
     for (const auto& [service, move] : moves_) {
-        if (move.order.state == phase::completed || move.order.state == phase::reverted) continue;
-        if (move.driven_here) {
-            const double announced_share =
-                move.judged_bad || move.order.state != phase::active ? 0 : stages[move.stage].share;
-            report.move_shares.emplace_back(service, announced_share);
-        }
+        if (!is_running(move.order.state) || !move.driven_here) continue;
+        const bool sends = !move.judged_bad && move.order.state == phase::active;
+        report.move_shares.emplace_back(service, sends ? stage_share(now, move) : 0);
     }
     if (!has_running_move()) return;
     for (const auto& [key, tally] : own_tallies_)
@@ -337,10 +426,8 @@
 }
 
 bool version_mover::has_running_move() const {
-    return std::any_of(moves_.begin(), moves_.end(), [](const auto& entry) {
-        const auto state = entry.second.order.state;
-        return state == phase::ordered || state == phase::active;
-    });
+    return std::any_of(moves_.begin(), moves_.end(),
+                       [](const auto& entry) { return is_running(entry.second.order.state); });
 }
 
 } // namespace lacewing
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -2,13 +2,16 @@
 
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_selector.h"
+#include "coordination/version_judge.h"
 #include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lacewing {
@@ -21,6 +24,21 @@
     std::string reason;
 };
 
+/// @brief Request to one version of a service that has been sent to an endpoint.
+struct sent_request {
+    const std::string& service;
+    const std::string& version;
+    const std::string& route;
+};
+
+/// @brief How long an answer took.
+struct answer_timing {
+    /// Time until the answer without the expected wait for a slot.
+    double latency_ms = 0;
+    /// A wait for a slot was expected.
+    bool queued = false;
+};
+
 /// @brief Moves services from one version to another in stages, and chooses the version of each request.
 ///
 /// One VM drives each move: it raises the target version's share of the requests stage by stage as long as
@@ -28,8 +46,16 @@
 /// and route, reports them to the others and follows the share that the driver announces. A VM that finds the
 /// target version bad from the outcomes of the whole fleet stops sending to it on its own, so a bad version
 /// stays at a small share also while the store or the driver is unavailable.
+///
+/// The target's share grows only while the requests that a bad version could still get stay within the limit
+/// on its exposure, or on evidence that it is good. A target that cannot be judged in time is reverted.
 class version_mover {
 public:
+    /// @param exposure_share Share of a service's requests during a move that a bad version may get.
+    /// @param exposure_slack Requests that it may get beyond that.
+    explicit version_mover(double exposure_share = 0.1, double exposure_slack = 50)
+        : exposure_share_(exposure_share), exposure_slack_(exposure_slack) {}
+
     /// @brief Replaces the orders by those in the store. A move whose order is unchanged keeps its progress.
     void set_orders(time_ms now, const std::vector<version_move_order>& orders);
     /// @brief Records the outcomes that another VM counted and the shares of the moves that it drives.
@@ -40,15 +66,20 @@
 
     /// @brief Chooses the version for the next request of a service and charges it to the target's share.
     version_choice choose(time_ms now, const std::string& service);
+    /// @brief Time without an answer after which a request counts as slow by on_overdue().
+    /// @return Nothing when no move of the service is running or its usual latency is not known yet.
+    [[nodiscard]] std::optional<time_ms> slow_limit(const std::string& service,
+                                                    const std::string& route) const;
+    /// @brief Records a request that has reached its slow_limit() without an answer.
+    void on_overdue(const sent_request& request);
     /// @brief Records the outcome of a request.
-    /// @param latency_ms Time until the answer without the expected wait for a slot; nothing when the
-    /// endpoint is cold, because the latency then says little about the version.
-    void on_outcome(const std::string& service, const std::string& version, const std::string& route,
-                    bool failed, std::optional<double> latency_ms);
+    /// @param timing Nothing when the endpoint is cold, because the latency then says little about the
+    /// version, or when on_overdue() has counted the request.
+    void on_outcome(time_ms now, const sent_request& request, bool failed,
+                    std::optional<answer_timing> timing);
     /// @brief Records a request whose caller left before the answer; counted as slow if it had already waited
     /// longer than usual, otherwise ignored.
-    void on_abandoned(const std::string& service, const std::string& version, const std::string& route,
-                      double waited_ms);
+    void on_abandoned(const sent_request& request, double waited_ms);
 
     /// @brief Advances the moves that this VM drives.
     /// @param is_driver Predicate on a service name: whether this VM drives the service's move.
@@ -58,65 +89,80 @@
         std::vector<move_write> writes;
         for (auto& [service, move] : moves_) {
             const bool drives_move = is_driver(service);
+            count_matured(now);
             if (drives_move && !move.driven_here) become_driver(now, move);
             move.driven_here = drives_move;
             if (move.driven_here) {
                 advance_move(now, move, writes);
             } else if (!move.judged_bad) {
-                move.judged_bad = target_is_bad(move, nullptr);
+                move.judged_bad = judge(move).verdict == version_verdict::bad;
             }
         }
         return writes;
     }
 
+    /// @brief The state of each move that this VM drives, as text for logs.
+    [[nodiscard]] std::vector<std::pair<std::string, std::string>> evidence(time_ms now) const;
     /// @brief Adds the announced shares and the counted outcomes to the report of this VM.
-    void fill(vm_report& report) const;
+    void fill(time_ms now, vm_report& report) const;
     /// @brief Whether a move is ordered or active.
     [[nodiscard]] bool has_running_move() const;
 
 private:
-    /// Outcomes on one route over all VMs: of the target version and of all others.
-    struct route_outcomes {
-        version_tally target;
-        version_tally others;
-    };
-
     struct move_state {
         version_move_order order;
         /// When this VM first received the order.
         time_ms order_received_at{0};
         std::size_t stage = 0;
         time_ms stage_started_at{0};
-        /// Answers of the target version at the start of the stage.
-        std::uint64_t answers_before_stage = 0;
         bool driven_here = false;
         /// Set once this VM finds the target bad; it then gets no more requests from this VM.
         bool judged_bad = false;
         /// Newest share announced by the driver, 0 to 1, and the time of the announcement.
         double announced_share = 0;
         time_ms announced_share_at{-10'000};
+        /// Share of the target at the end of the first stage.
+        double first_share = 0;
         /// Requests that the target version is owed by its share and has not received yet.
         double target_credit = 0.5;
         /// Outcomes at the start of the stage, by route. The outcomes of a stage are also compared on their
         /// own, so that good answers of earlier stages do not hide faults that appear later.
-        std::map<std::string, route_outcomes> outcomes_before_stage;
+        service_outcomes outcomes_before_stage;
         time_ms last_write_at{-10'000};
     };
+    /// The latest latencies, and their 95th percentile.
+    struct latency_estimate {
+        std::deque<double> recent_ms;
+        double p95_ms = 0;
+        void add(double latency_ms);
+        [[nodiscard]] bool known() const;
+    };
     /// Usual latency of a route, estimated from the versions that are not the target of a move.
     struct latency_baseline {
-        /// Estimate of the 95th percentile; the longest latency while answers are few.
-        double p95_ms = 0;
-        std::uint64_t answer_count = 0;
+        latency_estimate all;
+        /// Without answers to requests that had to wait: the expected wait is uncertain under load.
+        latency_estimate unqueued;
+        [[nodiscard]] std::optional<double> p95_ms() const;
     };
-    bool record_latency(const std::string& route, bool is_target, double latency_ms);
+    void count_slow(const sent_request& request);
+    void count_matured(time_ms now);
     void become_driver(time_ms now, move_state& move);
     void enter_stage(time_ms now, move_state& move, std::size_t stage);
     void advance_move(time_ms now, move_state& move, std::vector<move_write>& writes);
-    [[nodiscard]] std::map<std::string, route_outcomes> outcomes_by_route(const move_state& move) const;
-    static bool is_significantly_worse(const route_outcomes& compared);
-    [[nodiscard]] bool target_is_bad(const move_state& move, std::string* bad_reason) const;
+    [[nodiscard]] service_outcomes outcomes_of(const move_state& move) const;
+    [[nodiscard]] version_judgement judge(const move_state& move) const;
+    [[nodiscard]] bool exposure_allows(time_ms now, const move_state& move, double share,
+                                       double margin) const;
+    [[nodiscard]] double stage_share(time_ms now, const move_state& move) const;
+    [[nodiscard]] bool stage_passed(time_ms now, const move_state& move,
+                                    const version_judgement& total) const;
+    [[nodiscard]] std::string describe(const move_state& move, const version_judgement& judgement) const;
+    [[nodiscard]] std::optional<double> slow_latency_ms(const std::string& route) const;
     [[nodiscard]] double target_share(time_ms now, const move_state& move) const;
 
+    double exposure_share_;
+    double exposure_slack_;
+
     std::map<std::string, move_state> moves_;
     // Current version by service: the target of the last completed move, or the most common version among the
     // first endpoints seen.
@@ -125,6 +171,9 @@
     std::map<std::string, version_tally> own_tallies_;
     // By route.
     std::map<std::string, latency_baseline> baselines_;
+    // Tally keys of requests that were answered in time, by the moment at which a slow request of the same
+    // age would be known as slow. Counted at once, quick answers would hide slow ones that are still running.
+    std::multimap<time_ms, std::string> maturing_;
     // Outcomes that other VMs reported; key: VM/incarnation, then as in own_tallies_.
     std::map<std::string, std::map<std::string, version_tally>> peer_tallies_;
 };
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -17,7 +17,10 @@
 struct version_tally {
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
-    /// Answers that took longer than is usual for the service.
+    /// Requests whose latency says something about the version: neither cold nor without a known usual
+    /// latency.
+    std::uint64_t timed = 0;
+    /// Those of them that took longer than is usual for the route, answered or not.
     std::uint64_t slow = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -112,7 +112,7 @@
       selector_(registry_, settings.zone.value, settings.region.value, seed, bounds_.max_region_shift),
       limiter_(settings.fleet_start),
       repeats_(bounds_.retry_budget_ratio, bounds_.retry_budget_slack, monotonic_now(), settings.fleet_start),
-      pool_(context_.get_executor()),
+      moves_(bounds_.exposure_share, bounds_.exposure_slack), pool_(context_.get_executor()),
       flow_(deadlines_, pool_, platform::dialect, registry_, selector_, limiter_, repeats_, moves_, seed),
       store_(context_.get_executor(), settings.store),
       mirror_(context_, store_, mirrored_kinds(), seed,
@@ -384,7 +384,7 @@
     registry_.fill(monotonic_now(), made, audience, full);
     if (audience == report_audience::same_region) selector_.shift_limiter().fill(made);
     made.usage = limiter_.usage(full);
-    moves_.fill(made);
+    moves_.fill(now, made);
     return made;
 }
 
@@ -464,6 +464,8 @@
         for (const auto& [name, service] : flow_.routes()->configuration().services)
             services.push_back(name);
         moves_.observe_versions(registry_, services);
+        for (const auto& [service, text] : moves_.evidence(now))
+            log(log_level::info, "move_evidence", {{"service", service}, {"evidence", text}});
     }
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -295,9 +295,19 @@
     endpoint_attempt current_attempt(pool_, deadlines_, dialect_);
     context.request->on_disconnect = [&current_attempt] { current_attempt.abort(); };
     endpoint_result result;
+    bool overdue = false;
     {
         const scoped_deadline limit(deadlines_, context.deadline,
                                     [&current_attempt] { current_attempt.abort(); });
+        std::optional<scoped_deadline> slow_mark;
+        const auto slow_after = moves_.slow_limit(context.service_name, context.route->name.value);
+        if (slow_after && started >= endpoint->cold_until) {
+            slow_mark.emplace(deadlines_, started + choice.wait + *slow_after, [&] {
+                overdue = true;
+                moves_.on_overdue(
+                    {context.service_name, endpoint->registration.version, context.route->name.value});
+            });
+        }
         result = co_await current_attempt.run(endpoint->registration.address,
                                               make_attempt_message(context, id, context.deadline - started),
                                               learning_sink);
@@ -314,7 +324,7 @@
         if (!result.streamed) learn_endpoint_limit(*endpoint, *result.answer);
     }
     selector_.on_end(now, *endpoint, query, started, choice.warm, result.outcome, context.service);
-    record_version_outcome(context, *endpoint, choice, result, now - started);
+    record_version_outcome(context, *endpoint, choice, result, now - started, overdue);
     if (result.outcome == attempt_end::answered) {
         answer_sizes_.on_answer(context.route->name.value,
                                 result.streamed_bytes + result.answer->body.size());
@@ -340,19 +350,21 @@
 // Records the outcome as evidence for or against the endpoint's version.
 void request_flow::record_version_outcome(const request_context& context, const endpoint_state& endpoint,
                                           const endpoint_choice& choice, const endpoint_result& result,
-                                          time_ms duration) {
+                                          time_ms duration, bool overdue) {
     const auto& version = endpoint.registration.version;
     const auto& route = context.route->name.value;
     // Neither the wait for a slot nor the latency of a cold endpoint says anything about the version.
     const bool cold = monotonic_now() < endpoint.cold_until;
-    const auto work_ms = static_cast<double>((duration - choice.wait).count);
+    const bool timed = !cold && !overdue;
+    const sent_request sent{context.service_name, version, route};
+    const answer_timing timing{static_cast<double>((duration - choice.wait).count), choice.wait > time_ms{0}};
     if (result.outcome == attempt_end::abandoned && context.request->caller_left) {
-        if (!cold) moves_.on_abandoned(context.service_name, version, route, work_ms);
+        if (timed) moves_.on_abandoned(sent, timing.latency_ms);
         return;
     }
     if (result.outcome == attempt_end::not_run || result.outcome == attempt_end::unreachable) return;
-    moves_.on_outcome(context.service_name, version, route, result.outcome != attempt_end::answered,
-                      cold ? std::optional<double>() : work_ms);
+    moves_.on_outcome(monotonic_now(), sent, result.outcome != attempt_end::answered,
+                      timed ? std::optional(timing) : std::nullopt);
 }
 
 attempt_message request_flow::make_attempt_message(const request_context& context,
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -112,7 +112,7 @@
     void learn_endpoint_limit(endpoint_state& endpoint, const endpoint_answer& answer);
     void record_version_outcome(const request_context& context, const endpoint_state& endpoint,
                                 const endpoint_choice& choice, const endpoint_result& result,
-                                time_ms duration);
+                                time_ms duration, bool overdue);
     [[nodiscard]] endpoint_request make_endpoint_request(const request_context& context, time_ms now,
                                                          const region_filter& regions,
                                                          const version_choice& version) const;
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -80,6 +80,7 @@
         item.append(Json::UInt64(tally.answered));
         item.append(Json::UInt64(tally.failed));
         item.append(Json::UInt64(tally.slow));
+        item.append(Json::UInt64(tally.timed));
         list.append(std::move(item));
     }
     return list;
@@ -262,9 +263,10 @@
         decode_usage(params, report);
         decode_limits(params, report);
         for (const auto& item : params["out"]) {
-            report.outcomes.emplace_back(
-                item[0].asString(),
-                version_tally{item[1].asUInt64(), item[2].asUInt64(), item[3].asUInt64()});
+            report.outcomes.emplace_back(item[0].asString(), version_tally{.answered = item[1].asUInt64(),
+                                                                           .failed = item[2].asUInt64(),
+                                                                           .timed = item[4].asUInt64(),
+                                                                           .slow = item[3].asUInt64()});
         }
         const auto& shares = params["move"];
         for (const auto& service : shares.getMemberNames()) {
--- /dev/null
+++ b/tests/version_judge_test.cpp
@@ -0,0 +1,53 @@
+#include "coordination/version_judge.h"
+
+#include <doctest/doctest.h>
+
+using namespace lacewing;
+
+namespace {
+
+service_outcomes on_route(const version_tally& target, const version_tally& others) {
+    return {{"r", {target, others}}};
+}
+
+constexpr version_tally usual{.answered = 250, .failed = 2, .timed = 240, .slow = 5};
+
+} // namespace
+
+// Guards against issue 28: a version counts as good because nothing speaks against it.
+TEST_CASE("version judge: a version is found good without evidence") {
+    CHECK(judge_version({}).verdict == version_verdict::undecided);
+    CHECK(judge_version(on_route({}, usual)).verdict == version_verdict::undecided);
+    CHECK(judge_version(on_route({.answered = 10, .timed = 10}, usual)).verdict ==
+          version_verdict::undecided);
+    // Answers that were not timed say nothing about latency.
+    CHECK(judge_version(on_route({.answered = 500}, usual)).verdict == version_verdict::undecided);
+    CHECK(judge_version(on_route({.answered = 50, .timed = 50, .slow = 1}, usual)).verdict ==
+          version_verdict::good_enough);
+}
+
+TEST_CASE("version judge: a fault on a part of the requests is not found") {
+    CHECK(judge_version(on_route({.answered = 25, .timed = 24, .slow = 8}, usual)).verdict ==
+          version_verdict::bad);
+    CHECK(judge_version(on_route({.answered = 15, .failed = 5, .timed = 10}, usual)).verdict ==
+          version_verdict::bad);
+    service_outcomes two_routes = on_route({.answered = 90, .timed = 90}, usual);
+    two_routes["rare"] = {{.answered = 10, .failed = 5}, {.answered = 40, .timed = 40}};
+    CHECK(judge_version(two_routes).verdict == version_verdict::bad);
+}
+
+TEST_CASE("version judge: load under which both versions fail counts against the new one") {
+    constexpr version_tally loaded{.answered = 250, .failed = 75, .timed = 240, .slow = 80};
+    CHECK(judge_version(on_route({.answered = 40, .failed = 12, .timed = 38, .slow = 13}, loaded)).verdict !=
+          version_verdict::bad);
+}
+
+TEST_CASE("version judge: counts of a VM that has restarted are subtracted") {
+    const auto before = on_route({.answered = 50, .failed = 5, .timed = 40, .slow = 4}, usual);
+    const auto now = on_route({.answered = 20, .failed = 6, .timed = 45, .slow = 4}, usual);
+    const auto target = target_total(target_outcomes_since(before, now));
+    CHECK(target.answered == 0);
+    CHECK(target.failed == 1);
+    CHECK(target.timed == 5);
+    CHECK(target.slow == 0);
+}
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <map>
 #include <random>
 
 using namespace lacewing;
@@ -42,11 +43,24 @@
         }
     }
 
+    /// Lets the VMs serve the old version before the move is ordered.
+    void run_before_order(time_ms run_time, double requests_per_s) {
+        for (auto& mover : movers)
+            mover.set_orders(now, {});
+        run(run_time, requests_per_s, [](const request&, time_ms) { return 0.01; });
+        ordered_at = now;
+        request_count = requests_in_time = 0;
+        order.created = ++order.revision;
+        for (auto& mover : movers)
+            mover.set_orders(now, {order});
+    }
+
     void run(time_ms run_time, double requests_per_s, const failure_probability& fails) {
         const auto begin = now;
         std::bernoulli_distribution arrival(requests_per_s / 1000);
         for (; now < begin + run_time; now += time_ms{1}) {
             if (arrival(random)) serve(fails, begin);
+            finish_due();
             if (now.count % 100 != 0) continue;
             for (std::size_t i = 0; i < movers.size(); ++i) {
                 const auto writes = movers[i].advance(now, [&](const std::string&) { return i == driver; });
@@ -55,7 +69,7 @@
                 vm_report report;
                 report.vm = {"vm-" + std::to_string(i)};
                 report.incarnation = incarnation_id{i + 1};
-                movers[i].fill(report);
+                movers[i].fill(now, report);
                 for (std::size_t receiver = 0; receiver < movers.size(); ++receiver) {
                     if (receiver != i) movers[receiver].on_report(now, report);
                 }
@@ -64,7 +78,8 @@
     }
 
     void serve(const failure_probability& fails, time_ms begin) {
-        auto& mover = movers[std::uniform_int_distribution<std::size_t>(0, movers.size() - 1)(random)];
+        const auto vm = std::uniform_int_distribution<std::size_t>(0, movers.size() - 1)(random);
+        auto& mover = movers[vm];
         const auto choice = mover.choose(now, "s");
         request sent;
         sent.to_target = choice.allows("v2");
@@ -72,20 +87,58 @@
         ++request_count;
         const auto requests_so_far = std::max<std::size_t>(1, request_count);
         sent.share_before = static_cast<double>(target_request_count) / static_cast<double>(requests_so_far);
-        if (sent.to_target) ++target_request_count;
-        const bool failed = std::bernoulli_distribution(fails(sent, now - begin))(random);
-        if (sent.to_target && failed) {
-            ++failed_target_answers;
-            if (failed_target_answers == 50) fiftieth_failure_at = now;
+        if (sent.to_target) {
+            ++target_request_count;
+            if (now < ordered_at + order.duration) ++target_requests_in_time;
         }
+        if (now < ordered_at + order.duration) ++requests_in_time;
         if (sent.to_target) last_target_request_at = now;
-        const auto* version = sent.to_target ? "v2" : "v1";
-        const auto latency_ms = draw_latency_ms(sent);
-        if (latency_ms > caller_timeout_ms) {
-            mover.on_abandoned("s", version, sent.route, caller_timeout_ms);
-        } else {
-            mover.on_outcome("s", version, sent.route, failed, latency_ms);
+        pending_request started{vm, sent, now};
+        started.failed = std::bernoulli_distribution(fails(sent, now - begin))(random);
+        started.latency_ms = draw_latency_ms(sent);
+        started.cold = sent.to_target && now < ordered_at + cold_time;
+        started.abandoned = started.latency_ms > caller_timeout_ms;
+        const auto end_ms = started.abandoned ? caller_timeout_ms : started.latency_ms;
+        const auto limit = started.cold ? std::nullopt : mover.slow_limit("s", sent.route);
+        const auto end = now + time_ms{static_cast<std::int64_t>(end_ms)};
+        if (limit && now + *limit < end) overdue_requests.emplace(now + *limit, started);
+        started.overdue = limit && now + *limit < end;
+        running_requests.emplace(end, started);
+    }
+
+    // Hands the requests that become overdue or end at this moment to their VMs.
+    void finish_due() {
+        while (!overdue_requests.empty() && overdue_requests.begin()->first <= now) {
+            const auto late = overdue_requests.begin()->second;
+            overdue_requests.erase(overdue_requests.begin());
+            movers[late.vm].on_overdue({service, version_of(late.sent), late.sent.route});
+        }
+        while (!running_requests.empty() && running_requests.begin()->first <= now) {
+            const auto done = running_requests.begin()->second;
+            running_requests.erase(running_requests.begin());
+            finish(done);
+        }
+    }
+
+    struct pending_request;
+    void finish(const pending_request& done) {
+        auto& mover = movers[done.vm];
+        const sent_request sent{service, version_of(done.sent), done.sent.route};
+        const bool timed = !done.cold && !done.overdue;
+        if (done.abandoned) {
+            if (timed) mover.on_abandoned(sent, caller_timeout_ms);
+            return;
+        }
+        if (done.sent.to_target && done.failed) {
+            ++failed_target_answers;
+            if (failed_target_answers == 50) fiftieth_failure_at = now;
         }
+        mover.on_outcome(now, sent, done.failed,
+                         timed ? std::optional(answer_timing{done.latency_ms, false}) : std::nullopt);
+    }
+
+    [[nodiscard]] const std::string& version_of(const request& sent) const {
+        return sent.to_target ? new_version : old_version;
     }
 
     // Endpoints of the old version have most objects cached, those of the new version few. The latency
@@ -117,8 +170,30 @@
     /// Fraction of the requests that the new version handles slowly, and by which factor.
     double slow_fraction = 0;
     double slow_latency_factor = 1;
+    /// Time from the order for which endpoints of the new version are cold.
+    time_ms cold_time{0};
     /// Time after which callers abandon a request.
     double caller_timeout_ms = 60'000;
+    /// A request that is running.
+    struct pending_request {
+        std::size_t vm = 0;
+        request sent;
+        time_ms started{0};
+        double latency_ms = 0;
+        bool failed = false;
+        bool cold = false;
+        bool abandoned = false;
+        bool overdue = false;
+    };
+    const std::string service = "s";
+    const std::string old_version = "v1";
+    const std::string new_version = "v2";
+    time_ms ordered_at = now;
+    std::multimap<time_ms, pending_request> running_requests;
+    std::multimap<time_ms, pending_request> overdue_requests;
+    /// Requests before the time limit of the move: all, and those to the new version.
+    std::size_t requests_in_time = 0;
+    std::size_t target_requests_in_time = 0;
     std::size_t request_count = 0;
     std::size_t target_request_count = 0;
     std::size_t failed_target_answers = 0;
@@ -287,3 +362,77 @@
         }
     }
 }
+
+namespace {
+
+/// How a bad version of a service is slow.
+struct slowness {
+    /// Fraction of the requests that are slow, and by which factor.
+    double fraction;
+    double factor;
+};
+
+// A bad version must stay within a tenth of the requests of the move, plus 50, and be reverted in time.
+void check_exposure(double requests_per_s, const slowness& slow, double caller_timeout_ms) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(requests_per_s);
+        CAPTURE(slow.fraction);
+        CAPTURE(slow.factor);
+        CAPTURE(seed);
+        fleet_of_movers fleet(seed);
+        fleet.slow_fraction = slow.fraction;
+        fleet.slow_latency_factor = slow.factor;
+        fleet.caller_timeout_ms = caller_timeout_ms;
+        fleet.cold_time = time_ms{3'500};
+        fleet.run_before_order(time_ms{10'000}, requests_per_s);
+        fleet.run(time_ms{16'000}, requests_per_s, baseline_failure_rate);
+        CHECK(fleet.order.state == phase::reverted);
+        CHECK(static_cast<double>(fleet.target_requests_in_time) <=
+              0.1 * static_cast<double>(fleet.requests_in_time) + 50);
+    }
+}
+
+} // namespace
+
+// Guards against issue 28: a version that is slow on part of its requests gains share because the judge has
+// not seen enough of its answers.
+TEST_CASE("version mover: a version that is slow on a third of its requests gets too many requests") {
+    for (const double requests_per_s : {20.0, 41.0, 80.0, 280.0}) {
+        for (const slowness& slow :
+             {slowness{0.3, 8}, slowness{0.3, 4}, slowness{0.4, 3}, slowness{0.5, 2.5}})
+            check_exposure(requests_per_s, slow, 2'000);
+    }
+}
+
+TEST_CASE("version mover: a rarely slow version that cannot be judged in time gets too many requests") {
+    for (const double requests_per_s : {41.0, 80.0, 280.0}) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(requests_per_s);
+            CAPTURE(seed);
+            fleet_of_movers fleet(seed);
+            fleet.slow_fraction = 0.2;
+            fleet.slow_latency_factor = 8;
+            fleet.caller_timeout_ms = 2'000;
+            fleet.cold_time = time_ms{3'500};
+            fleet.run_before_order(time_ms{10'000}, requests_per_s);
+            fleet.run(time_ms{16'000}, requests_per_s, baseline_failure_rate);
+            CHECK(static_cast<double>(fleet.target_requests_in_time) <=
+                  0.1 * static_cast<double>(fleet.requests_in_time) + 50);
+        }
+    }
+}
+
+TEST_CASE("version mover: the move to a good version whose endpoints start cold is not completed in time") {
+    for (const double requests_per_s : {4.0, 10.0, 20.0, 41.0, 80.0, 280.0}) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(requests_per_s);
+            CAPTURE(seed);
+            fleet_of_movers fleet(seed);
+            fleet.cold_time = time_ms{3'500};
+            fleet.caller_timeout_ms = 2'000;
+            fleet.run_before_order(time_ms{10'000}, requests_per_s);
+            fleet.run(time_ms{16'000}, requests_per_s, baseline_failure_rate);
+            CHECK(fleet.order.state == phase::completed);
+        }
+    }
+}
