Match answers of endpoints to attempts by a tag on the own interface

Cause: nothing in an answer named the attempt; only bytes that arrive while a connection is idle were noticed. At-most- once requests were not concerned, because they get a new connection each.

Change: every attempt carries X-Attempt-Tag, which the endpoint echoes. An answer with another tag, or without one on a connection that was used before, fails the attempt as one that may have run; a connection whose endpoint echoes no tag is not kept. The header does not reach callers.

An answer that ends in its head was already taken for a failure; the stand-in endpoint can do that now, and 'answers: a damaged answer...' covers it.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -108,6 +108,8 @@
     bool streamed = false;
     // Bytes of an endpoint's answer may have reached the caller, so no error answer can follow.
     bool answer_started = false;
+    // Value of attempt_header in the last attempt.
+    std::string attempt_tag;
 };
 
 // Why one attempt at an endpoint gave no answer to forward.
@@ -430,6 +432,8 @@
     }
     out.set(http::field::host, endpoint.address);
     out.set("X-Deadline-Ms", std::to_string(current.deadline_ms));
+    current.attempt_tag = state_.next_attempt_tag();
+    out.set(attempt_header, current.attempt_tag);
     if (current.identity.account) out.set("X-Account", current.identity.account->name.value);
     const auto length = current.parser.content_length();
     if (length) {
@@ -483,10 +487,29 @@
     }
 }
 
+// Whether an answer belongs to the attempt by the tag that the endpoint echoes. Without a tag, only the first
+// answer on a connection cannot be that of an earlier request.
+bool answers_attempt(const answer_parser& answer, const endpoint_connection& from, std::string_view tag) {
+    const auto echoed = answer.get().find(attempt_header);
+    if (echoed == answer.get().end()) return !from.used_before;
+    return std::string_view(echoed->value()) == tag;
+}
+
+// Whether a connection may carry another request after this answer.
+bool may_reuse(const answer_parser& answer) {
+    return answer.get().keep_alive() && answer.get().count(attempt_header) > 0;
+}
+
 // Records the endpoint's load and checks by its header whether the answer may be forwarded. If not, finishes
 // the lease and returns the failure.
-std::optional<attempt_failure> check_answer_header(const answer_parser& answer, endpoint_lease& lease) {
+std::optional<attempt_failure> check_answer_header(const answer_parser& answer,
+                                                   const endpoint_connection& from, std::string_view tag,
+                                                   endpoint_lease& lease) {
     const auto& head = answer.get();
+    if (!answers_attempt(answer, from, tag)) {
+        lease.finish(attempt_outcome::failure);
+        return attempt_failure{error_kind::endpoint_failed, "the endpoint answered an earlier request"};
+    }
     lease.report_load(head["X-Load"]);
     if (head.result() == http::status::service_unavailable && head["X-Not-Run"] == "1") {
         lease.finish(attempt_outcome::shed);
@@ -534,7 +557,7 @@
         lease.finish(attempt_outcome::neutral);
         throw boost::system::system_error(asio::error::connection_reset);
     }
-    if (!failure) co_return check_answer_header(*answer, lease);
+    if (!failure) co_return check_answer_header(*answer, from, current.attempt_tag, lease);
     lease.finish(attempt_outcome::failure);
     if (failure == beast::error::timeout) {
         co_return attempt_failure{error_kind::deadline_exceeded, "the endpoint did not answer in time"};
@@ -574,13 +597,13 @@
     if (answer->is_done()) {
         // The whole answer is buffered, so the slot is released before a possibly slow caller receives it.
         lease.finish(outcome);
-        if (answer->get().keep_alive()) state_.pool().put_idle(std::move(from), monotonic_now());
+        if (may_reuse(*answer)) state_.pool().put_idle(std::move(from), monotonic_now());
         co_await write_buffered_answer(out);
         co_return std::nullopt;
     }
     co_await stream_answer(current, *from, *answer, out, chunk);
     lease.finish(outcome);
-    if (answer->get().keep_alive()) state_.pool().put_idle(std::move(from), monotonic_now());
+    if (may_reuse(*answer)) state_.pool().put_idle(std::move(from), monotonic_now());
     co_return std::nullopt;
 }
 
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -258,6 +258,9 @@
     /// @brief Returns the state of the request path as JSON, for the operator port's /dump.
     [[nodiscard]] std::string dump();
 
+    /// @brief Value of attempt_header for the next attempt.
+    [[nodiscard]] std::string next_attempt_tag() { return std::to_string(++attempts_); }
+
 private:
     friend class endpoint_lease;
     friend class request_id_claim;
@@ -310,6 +313,8 @@
     peer_id self_;
     send_function send_;
     std::mt19937_64 random_;
+    // Number of the last attempt at an endpoint.
+    std::uint64_t attempts_ = 0;
 
     std::shared_ptr<const serving_snapshot> snapshot_;
     std::shared_ptr<const entry_view> entry_view_;
--- a/src/fakes/endpoint/endpoint_behaviour.cpp
+++ b/src/fakes/endpoint/endpoint_behaviour.cpp
@@ -13,14 +13,16 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, answer_fault>, 7> answer_fault_names{{
+constexpr std::array<std::pair<std::string_view, answer_fault>, 9> answer_fault_names{{
     {"none", answer_fault::none},
     {"reset_before_answer", answer_fault::reset_before_answer},
     {"reset_in_answer", answer_fault::reset_in_answer},
     {"truncated", answer_fault::truncated},
+    {"truncated_head", answer_fault::truncated_head},
     {"endless", answer_fault::endless},
     {"wrong_length", answer_fault::wrong_length},
     {"late", answer_fault::late},
+    {"repeat_previous", answer_fault::repeat_previous},
 }};
 
 answer_fault parse_answer_fault(const std::string& name) {
--- a/src/fakes/endpoint/endpoint_behaviour.h
+++ b/src/fakes/endpoint/endpoint_behaviour.h
@@ -19,12 +19,17 @@
     reset_in_answer,
     /// The connection is closed in order after half of the body.
     truncated,
+    /// The connection is closed in order within the head.
+    truncated_head,
     /// A body without a declared length that ends only when the connection does.
     endless,
     /// More bytes than the declared length: a second answer follows that nobody asked for.
     wrong_length,
     /// The answer is delayed.
     late,
+    /// The endpoint writes its previous answer or refusal on the connection once more when it has read the
+    /// next request, and then handles that request.
+    repeat_previous,
 };
 
 /// @brief Simulated defect of the version that the endpoint runs. It is active while all of its conditions
--- a/src/fakes/endpoint/fake_endpoint.cpp
+++ b/src/fakes/endpoint/fake_endpoint.cpp
@@ -1,5 +1,6 @@
 #include "fakes/endpoint/fake_endpoint.h"
 
+#include "protocol/caller_http.h"
 #include "transport/ip_address.h"
 #include "transport/monotonic_clock.h"
 
@@ -57,12 +58,13 @@
     return {remaining_ms};
 }
 
-// Header lines as received. X-Request-Id is left out: it differs per request and is recorded separately.
+// Header lines as received, without those that differ per attempt; X-Request-Id is recorded separately.
 template <class Fields>
 std::vector<std::string> header_lines(const Fields& fields) {
     std::vector<std::string> lines;
     for (const auto& field : fields) {
         if (boost::beast::iequals(field.name_string(), "X-Request-Id")) continue;
+        if (boost::beast::iequals(field.name_string(), attempt_header)) continue;
         lines.push_back(fmt::format("{}: {}", field.name_string(), field.value()));
     }
     return lines;
@@ -168,9 +170,14 @@
     received_request request;
     request.request_id = std::string(header["X-Request-Id"]);
     request.account = std::string(header["X-Account"]);
+    request.attempt_tag = std::string(header[attempt_header]);
     request.target = std::string(header.target());
     request.deadline = monotonic_now() + remaining_time_from(header["X-Deadline-Ms"]);
     const bool keep_alive = header.keep_alive();
+    if (behaviour_.injected_answer_fault == answer_fault::repeat_previous) {
+        co_await asio::async_write(connection->socket, asio::buffer(connection->previous_answer),
+                                   completion_token(failure));
+    }
     auto header_line_indices = shared_->ledger.record_request(request.target, header_lines(header));
     if (behaviour_.draining || in_flight_ >= behaviour_.slots) {
         ++shared_->shed_requests;
@@ -229,6 +236,7 @@
 asio::awaitable<bool> fake_endpoint::refuse(connection_ptr connection, request_parser& parser) {
     auto refusal = make_response(503, R"({"error":"not run"})");
     refusal.set("X-Not-Run", "1");
+    refusal.set(attempt_header, parser.get()[attempt_header]);
     // The body stays unread, so after one the start of a next request on the connection is unknown.
     refusal.keep_alive(parser.get().keep_alive() && parser.is_done());
     const bool keep_open = co_await write_response(connection, refusal);
@@ -303,9 +311,11 @@
     body.append(behaviour_.padding_bytes, 'x');
     auto response = make_response(status, std::move(body));
     response.set("X-Version", behaviour_.version);
+    response.set(attempt_header, request.attempt_tag);
     if (behaviour_.report_load) response.set("X-Load", fmt::format("{:.3f}", reported_load()));
     response.keep_alive(keep_alive && !behaviour_.draining);
     const bool damaged = behaviour_.injected_answer_fault != answer_fault::none &&
+                         behaviour_.injected_answer_fault != answer_fault::repeat_previous &&
                          shared_->bernoulli(behaviour_.answer_fault_fraction);
     bool keep_open = false;
     if (damaged) {
@@ -320,6 +330,11 @@
 asio::awaitable<bool> fake_endpoint::write_response(connection_ptr connection, http_response& response) {
     response.prepare_payload();
     error_code failure;
+    if (behaviour_.injected_answer_fault == answer_fault::repeat_previous) {
+        std::ostringstream text;
+        text << response;
+        connection->previous_answer = text.str();
+    }
     co_await http::async_write(connection->socket, response, completion_token(failure));
     co_return !failure && response.keep_alive();
 }
@@ -347,6 +362,7 @@
     text << response;
     std::string bytes = text.str();
     if (fault == answer_fault::wrong_length) bytes += "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign";
+    if (fault == answer_fault::truncated_head) bytes.resize(bytes.find("\r\n\r\n") / 2);
     if (fault == answer_fault::truncated || fault == answer_fault::reset_in_answer) {
         bytes.resize(bytes.size() - response.body().size() / 2);
     }
--- a/src/fakes/endpoint/fake_endpoint.h
+++ b/src/fakes/endpoint/fake_endpoint.h
@@ -31,6 +31,8 @@
     boost::asio::steady_timer work_timer;
     /// The caller closed the connection while its request executed.
     bool cancelled = false;
+    /// Last answer or refusal, for answer_fault::repeat_previous.
+    std::string previous_answer;
     /// Waits for the header of the next request; close() closes idle connections.
     bool idle = true;
 };
@@ -64,6 +66,8 @@
         std::string request_id;
         std::string account;
         std::string target;
+        /// Value of attempt_header.
+        std::string attempt_tag;
         std::uint64_t body_bytes = 0;
         std::uint64_t body_hash = 0;
         time_ms deadline;
--- a/src/protocol/caller_http.cpp
+++ b/src/protocol/caller_http.cpp
@@ -22,9 +22,9 @@
 
 // Answer headers that apply to one connection (RFC 9110 section 7.6.1) or to the framing, which each
 // connection sets for itself.
-constexpr std::array<std::string_view, 9> connection_headers{
+constexpr std::array<std::string_view, 10> connection_headers{
     "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-    "transfer-encoding", "upgrade",    "content-length"};
+    "transfer-encoding", "upgrade",    "content-length",     attempt_header};
 
 template <std::size_t Size>
 bool contains(const std::array<std::string_view, Size>& names, std::string_view name) {
--- a/src/protocol/caller_http.h
+++ b/src/protocol/caller_http.h
@@ -15,6 +15,9 @@
 
 using http_fields = boost::beast::http::fields;
 
+/// Header with a value of its own for each attempt at an endpoint, which the endpoint echoes in its answer.
+inline constexpr std::string_view attempt_header = "X-Attempt-Tag";
+
 /// @brief Target of a proxied request, /r/ROUTE/..., split into the route and the endpoint's part.
 struct proxied_target {
     std::string_view route;
--- a/src/transport/endpoint_connection_pool.cpp
+++ b/src/transport/endpoint_connection_pool.cpp
@@ -71,6 +71,7 @@
     if (idle_list.size() >= max_idle_per_endpoint) return;
     connection->stream.expires_never();
     connection->idle_since = now;
+    connection->used_before = true;
     idle_list.push_back(std::move(connection));
 }
 
--- a/src/transport/endpoint_connection_pool.h
+++ b/src/transport/endpoint_connection_pool.h
@@ -35,6 +35,8 @@
     boost::beast::flat_buffer buffer;
     /// Time of the last put_idle().
     time_ms idle_since;
+    /// The connection has carried a request before, so bytes of an earlier answer may arrive on it.
+    bool used_before = false;
     /// Longest time for which an idle connection is kept; the endpoint may announce another one.
     time_ms idle_limit{3000};
     /// Called when this object is destroyed; may be empty.
--- a/tests/system/answer_integrity_test.cpp
+++ b/tests/system/answer_integrity_test.cpp
@@ -89,7 +89,8 @@
     auto& system = shared_deployment();
     REQUIRE(system.reset_endpoint_behaviour());
     for (const std::string route : {"balance", "scans"}) {
-        for (const std::string fault : {"reset_before_answer", "reset_in_answer", "truncated", "endless"}) {
+        for (const std::string fault :
+             {"reset_before_answer", "reset_in_answer", "truncated", "truncated_head", "endless"}) {
             for (const int padding : {200, 300'000}) {
                 INFO("route " << route << ", fault " << fault << ", padding " << padding);
                 const auto prefix = fmt::format("{}-{}-{}", route, fault, padding);
@@ -122,6 +123,22 @@
     CHECK(system.reset_endpoint_behaviour());
 }
 
+// Guards against issue 28: an endpoint writes an earlier refusal, or answer, once more on a kept connection.
+// A request that it then runs must not count as not run, and no caller may get the answer of another request.
+TEST_CASE("answers: an earlier answer that an endpoint repeats counts for the next request") {
+    auto& system = shared_deployment();
+    REQUIRE(system.reset_endpoint_behaviour());
+    // Few slots, so that refusals and answers alternate on the connections.
+    system.set_endpoint_behaviour(R"({"answer_fault":"repeat_previous","slots":2,"service_ms":5})");
+    for (const std::string route : {"balance", "scans"}) {
+        const auto sent = send_many(system, route, "repeated-" + route, 300, 12);
+        check_answers(system, sent, route == "balance");
+        CHECK(std::any_of(sent.begin(), sent.end(),
+                          [](const auto& item) { return item.answer.status == 200; }));
+    }
+    CHECK(system.reset_endpoint_behaviour());
+}
+
 TEST_CASE("answers: a connection is reused after a timeout and delivers the late answer to another request") {
     auto& system = shared_deployment();
     REQUIRE(system.reset_endpoint_behaviour());
