Give moves their share by the exposure that is left, and know latencies by warmth

Causes: the old version has most objects cached and the new one few, so a usual latency over both kinds takes a cold cache for slowness. A target that is not judged yet waited at its share, so no time was left for the stages that test it under load, and forced ends followed each other without a stage in between. Requests in flight were not counted as exposure.

Change: the usual latency is learned apart for requests whose object is expected to be warm. Requests are counted when they are sent. A target that is not judged goes on to the stage that tests it under load as far as the exposure limit allows and then gets what is left of it; a forced stage lasts at least half of its time, and its own answers must not speak against the target; a move is completed only after the last stage.

--- a/src/coordination/version_judge.h
+++ b/src/coordination/version_judge.h
@@ -40,8 +40,8 @@
 
 /// @brief Outcomes of the target version over all routes.
 version_tally target_total(const service_outcomes& outcomes);
-/// @brief Answers of all versions over all routes.
-std::uint64_t answered_total(const service_outcomes& outcomes);
+/// @brief Requests to all versions over all routes.
+std::uint64_t sent_total(const service_outcomes& outcomes);
 
 /// @brief Adds counts.
 void add(version_tally& to, const version_tally& from);
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -49,18 +49,20 @@
 // that the write is in time.
 constexpr double decision_fraction = 0.92;
 // Part of the limit on exposure for that last decision, after which little traffic is left.
-constexpr double last_exposure_margin = 0.95;
+constexpr double last_exposure_margin = 1;
 // An answer is slow above this multiple of the latency that 19 of 20 answers of the old version stay below.
-constexpr double slow_factor = 1.5;
+constexpr double slow_factor = 1.8;
 // The same multiple for a request whose caller left. It is lower, because the time waited until then is only
 // a lower bound of the latency.
 constexpr double abandoned_factor = 1.2;
 constexpr double baseline_quantile = 0.95;
 // Answers of the old version from which the quantile is taken.
 constexpr std::size_t baseline_answers = 64;
-// Answers of the old version before the quantile is used. If most objects are cached, the first few answers
+// With fewer answers, the longest latency stands for the quantile.
+constexpr std::size_t full_baseline_answers = 40;
+// Answers of the old version before the estimate is used. If most objects are cached, the first few answers
 // are often all quick.
-constexpr std::size_t min_baseline_answers = 12;
+constexpr std::size_t min_baseline_answers = 20;
 // Without a newer announcement for this long, the announced share is cut to that of the first stage.
 constexpr time_ms announcement_lifetime{2000};
 // Minimum time between two attempts to write the status of a move.
@@ -70,14 +72,18 @@
     return request.service + '/' + request.version + '/' + request.route;
 }
 
+double worst_llr(const version_judgement& judgement) {
+    return std::max(judgement.failure_llr, judgement.slow_llr);
+}
+
 // Whether the evidence points against the target, though it does not suffice to find it bad.
 bool leans_bad(const version_judgement& judgement) {
-    return std::max(judgement.failure_llr, judgement.slow_llr) > max_llr_without_verdict;
+    return worst_llr(judgement) > max_llr_without_verdict;
 }
 
 // Whether the evidence points to a good target, though it does not suffice to find it good.
 bool leans_good(const version_judgement& judgement) {
-    return std::max(judgement.failure_llr, judgement.slow_llr) < -max_llr_without_verdict;
+    return worst_llr(judgement) < -max_llr_without_verdict;
 }
 
 bool is_running(phase state) {
@@ -138,7 +144,7 @@
 double version_mover::target_share(time_ms now, const move_state& move) const {
     if (move.order.state == phase::completed) return 1;
     if (move.order.state == phase::reverted || move.judged_bad) return 0;
-    if (move.driven_here) return move.order.state == phase::active ? stage_share(now, move) : 0;
+    if (move.driven_here) return move.order.state == phase::active ? move.share : 0;
     if (now - move.announced_share_at > announcement_lifetime)
         return std::min(move.announced_share, stages[0].share);
     return move.announced_share;
@@ -170,7 +176,8 @@
     if (recent_ms.size() == baseline_answers) recent_ms.pop_front();
     recent_ms.push_back(latency_ms);
     std::vector<double> sorted(recent_ms.begin(), recent_ms.end());
-    const auto rank = static_cast<std::size_t>(baseline_quantile * static_cast<double>(sorted.size()));
+    const double quantile = sorted.size() < full_baseline_answers ? 1 : baseline_quantile;
+    const auto rank = static_cast<std::size_t>(quantile * static_cast<double>(sorted.size()));
     const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(std::min(rank, sorted.size() - 1));
     std::nth_element(sorted.begin(), at, sorted.end());
     p95_ms = *at;
@@ -186,18 +193,18 @@
     return std::nullopt;
 }
 
-// Latency above which an answer on a route is slow.
-std::optional<double> version_mover::slow_latency_ms(const std::string& route) const {
-    const auto baseline = baselines_.find(route);
+// Latency above which the answer to a request is slow.
+std::optional<double> version_mover::slow_latency_ms(const sent_request& request) const {
+    const auto baseline = baselines_.find({request.route, request.warm});
     const auto usual = baseline == baselines_.end() ? std::nullopt : baseline->second.p95_ms();
     if (!usual) return std::nullopt;
     return *usual * slow_factor;
 }
 
-std::optional<time_ms> version_mover::slow_limit(const std::string& service, const std::string& route) const {
-    const auto found = moves_.find(service);
+std::optional<time_ms> version_mover::slow_limit(const sent_request& request) const {
+    const auto found = moves_.find(request.service);
     if (found == moves_.end() || !is_running(found->second.order.state)) return std::nullopt;
-    const auto limit = slow_latency_ms(route);
+    const auto limit = slow_latency_ms(request);
     if (!limit) return std::nullopt;
     return time_ms{static_cast<std::int64_t>(std::ceil(*limit))};
 }
@@ -208,6 +215,12 @@
     ++tally.slow;
 }
 
+void version_mover::on_sent(const sent_request& request) {
+    const auto found = moves_.find(request.service);
+    if (found == moves_.end() || !is_running(found->second.order.state)) return;
+    ++own_tallies_[tally_key(request)].sent;
+}
+
 void version_mover::on_overdue(const sent_request& request) {
     count_slow(request);
 }
@@ -216,9 +229,9 @@
                                std::optional<answer_timing> timing) {
     const auto found = moves_.find(request.service);
     const bool is_target = found != moves_.end() && request.version == found->second.order.target_version;
-    const auto limit = slow_latency_ms(request.route);
+    const auto limit = slow_latency_ms(request);
     if (timing && !failed && !is_target) {
-        auto& baseline = baselines_[request.route];
+        auto& baseline = baselines_[{request.route, request.warm}];
         baseline.all.add(timing->latency_ms);
         if (!timing->queued) baseline.unqueued.add(timing->latency_ms);
     }
@@ -238,7 +251,7 @@
 void version_mover::on_abandoned(const sent_request& request, double waited_ms) {
     const auto found = moves_.find(request.service);
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
-    const auto limit = slow_latency_ms(request.route);
+    const auto limit = slow_latency_ms(request);
     if (!limit || waited_ms * slow_factor <= *limit * abandoned_factor) return;
     count_slow(request);
 }
@@ -289,35 +302,56 @@
     return judge_version(outcomes);
 }
 
-// Whether a bad target stays within the limit on its exposure when it gets a share of the requests until the
-// end of the move.
-bool version_mover::exposure_allows(time_ms now, const move_state& move, double share, double margin) const {
-    const auto outcomes = outcomes_of(move);
-    const auto elapsed = static_cast<double>((now - move.order_received_at).count);
-    const auto answered = static_cast<double>(answered_total(outcomes));
-    if (elapsed <= 0) return false;
-    const auto left = std::max(0.0, static_cast<double>(move.order.duration.count) - elapsed);
-    const auto expected = answered * left / elapsed;
-    const auto exposed = static_cast<double>(target_total(outcomes).answered) + share * expected;
-    return exposed <= margin * (exposure_share_ * (answered + expected) + exposure_slack_);
-}
-
-// Share of the target in the current stage. In the first one, a service with little traffic gives the target
-// the share that lets it be judged in time, as far as the limit on its exposure allows.
-double version_mover::stage_share(time_ms now, const move_state& move) const {
-    const double least = stages[move.stage].share;
-    if (move.stage > 0) return std::max(least, move.first_share);
+// What a move has sent, and what its service will still get at the same rate.
+version_mover::traffic version_mover::traffic_of(time_ms now, const move_state& move) const {
     const auto outcomes = outcomes_of(move);
     const auto elapsed = static_cast<double>((now - move.order_received_at).count);
-    if (target_total(outcomes).timed == 0 || elapsed <= 0) return least;
-    const auto requests = static_cast<double>(answered_total(outcomes)) *
-                          static_cast<double>(move.order.duration.count) / elapsed;
-    if (requests <= 0) return least;
-    const double wanted = answers_to_judge / (judging_fraction * requests);
-    const double affordable = exposure_margin * (exposure_share_ + exposure_slack_ / requests);
+    traffic seen;
+    seen.to_target = static_cast<double>(target_total(outcomes).sent);
+    if (elapsed <= 0) return seen;
+    seen.duration_fraction =
+        elapsed / static_cast<double>(std::max<std::int64_t>(1, move.order.duration.count));
+    seen.expected = static_cast<double>(sent_total(outcomes)) / seen.duration_fraction;
+    seen.exposure_limit = exposure_share_ * seen.expected + exposure_slack_;
+    return seen;
+}
+
+// Whether a bad target stays within a part of the limit on its exposure when it gets a share of the requests
+// until a fraction of the move's duration.
+bool version_mover::exposure_allows(const traffic& seen, double share, double until, double margin) {
+    const auto further = share * seen.expected * std::max(0.0, until - seen.duration_fraction);
+    return seen.duration_fraction > 0 && seen.to_target + further <= margin * seen.exposure_limit;
+}
+
+// Share of the target in the first stage. A service with little traffic gives the target the share that lets
+// it be judged in time, as far as the limit on its exposure leaves room for the stage that tests it under
+// load.
+double version_mover::first_stage_share(const move_state& move, const traffic& seen) const {
+    const double least = stages[0].share;
+    if (target_total(outcomes_of(move)).timed == 0 || seen.expected <= 0) return least;
+    const double load_test =
+        stages[2].share * (stages[2].forced_end_fraction - stages[1].forced_end_fraction);
+    const double wanted = answers_to_judge / (judging_fraction * seen.expected);
+    const double affordable =
+        (exposure_margin * seen.exposure_limit / seen.expected - load_test) / stages[1].forced_end_fraction;
     return std::clamp(std::min(wanted, affordable), least, max_first_share);
 }
 
+// Share of the target now. A target that is not found good keeps the share of its stage until the stage is
+// over, and then gets what the limit on its exposure still allows.
+double version_mover::current_share(time_ms now, const move_state& move, version_verdict verdict) const {
+    const auto seen = traffic_of(now, move);
+    const auto& stage = stages[move.stage];
+    const double planned =
+        move.stage == 0 ? first_stage_share(move, seen) : std::max(stage.share, move.first_share);
+    if (verdict == version_verdict::good_enough || seen.expected <= 0) return planned;
+    const double allowed = exposure_margin * seen.exposure_limit - seen.to_target;
+    if (allowed <= 0) return 0;
+    if (seen.duration_fraction < stage.forced_end_fraction) return planned;
+    const double further = seen.expected * (1 - seen.duration_fraction);
+    return further <= allowed ? planned : std::min(planned, allowed / further);
+}
+
 // Continues at the stage whose share the previous driver announced last.
 void version_mover::become_driver(time_ms now, move_state& move) {
     std::size_t stage = move.stage;
@@ -328,7 +362,7 @@
 }
 
 void version_mover::enter_stage(time_ms now, move_state& move, std::size_t stage) {
-    if (stage > 0 && move.stage == 0) move.first_share = stage_share(now, move);
+    if (stage > 0 && move.stage == 0) move.first_share = move.share;
     move.stage = stage;
     move.stage_started_at = now;
     move.outcomes_before_stage = outcomes_of(move);
@@ -343,15 +377,18 @@
     const bool good = total.verdict == version_verdict::good_enough;
     const auto outcomes = target_outcomes_since(move.outcomes_before_stage, outcomes_of(move));
     const auto in_stage = judge_version(outcomes);
-    const bool shown_in_stage =
-        target_total(outcomes).answered >= stage.min_answers &&
-        (move.stage == 0 || std::max(in_stage.failure_llr, in_stage.slow_llr) <= stage_llr);
+    const bool shown_in_stage = target_total(outcomes).answered >= stage.min_answers &&
+                                (move.stage == 0 || worst_llr(in_stage) <= stage_llr);
     if (good && shown_in_stage && time_in_stage >= duration * stage.min_duration_fraction) return true;
     if (time_since_order < duration * stage.forced_end_fraction) return false;
+    if (time_in_stage < duration * stage.min_duration_fraction / 2) return false;
+    if (target_total(outcomes).timed >= min_timed_to_lean && worst_llr(in_stage) > 0) return false;
     if (target_total(outcomes_of(move)).answered == 0) return false;
-    const double next_share = move.stage + 1 < stages.size() ? stages[move.stage + 1].share : 1;
     if (good) return true;
-    return !leans_bad(total) && exposure_allows(now, move, next_share, exposure_margin);
+    const bool last = move.stage + 1 == stages.size();
+    const double next_share = last ? 1 : stages[move.stage + 1].share;
+    const double until = last ? 1 : stages[move.stage + 1].forced_end_fraction;
+    return !leans_bad(total) && exposure_allows(traffic_of(now, move), next_share, until, exposure_margin);
 }
 
 void version_mover::advance_move(time_ms now, move_state& move, std::vector<move_write>& writes) {
@@ -375,6 +412,7 @@
         request_state(phase::active, "ordered");
         return;
     }
+    move.share = current_share(now, move, judgement.verdict);
     if (stage_passed(now, move, judgement)) {
         if (move.stage + 1 < stages.size()) {
             enter_stage(now, move, move.stage + 1);
@@ -387,7 +425,8 @@
     if (time_since_order < static_cast<double>(move.order.duration.count) * decision_fraction) return;
     const bool little_traffic = target_total(outcomes_of(move)).timed < min_timed_to_lean;
     const bool favoured = leans_good(judgement) || (little_traffic && !leans_bad(judgement));
-    if (favoured && exposure_allows(now, move, 1, last_exposure_margin)) {
+    const bool seen_under_load = move.stage + 1 == stages.size();
+    if (favoured && seen_under_load && exposure_allows(traffic_of(now, move), 1, 1, last_exposure_margin)) {
         request_state(phase::completed, "time is up: " + describe(move, judgement));
     } else {
         move.judged_bad = true;
@@ -400,7 +439,7 @@
     const auto target = target_total(outcomes);
     return fmt::format(
         "stage {}, {} of {} requests, {} failed, {} of {} timed slow, llr failures {:.1f} slow {:.1f}",
-        move.stage, target.answered, answered_total(outcomes), target.failed, target.slow, target.timed,
+        move.stage, target.sent, sent_total(outcomes), target.failed, target.slow, target.timed,
         judgement.failure_llr, judgement.slow_llr);
 }
 
@@ -414,11 +453,11 @@
     return texts;
 }
 
-void version_mover::fill(time_ms now, vm_report& report) const {
+void version_mover::fill(vm_report& report) const {
     for (const auto& [service, move] : moves_) {
         if (!is_running(move.order.state) || !move.driven_here) continue;
         const bool sends = !move.judged_bad && move.order.state == phase::active;
-        report.move_shares.emplace_back(service, sends ? stage_share(now, move) : 0);
+        report.move_shares.emplace_back(service, sends ? move.share : 0);
     }
     if (!has_running_move()) return;
     for (const auto& [key, tally] : own_tallies_)
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -29,6 +29,9 @@
     const std::string& service;
     const std::string& version;
     const std::string& route;
+    /// The endpoint was expected to handle the object faster, having handled it lately. Endpoints of a new
+    /// version have handled few objects, so the usual latency is known apart for such requests.
+    bool warm = false;
 };
 
 /// @brief How long an answer took.
@@ -68,8 +71,9 @@
     version_choice choose(time_ms now, const std::string& service);
     /// @brief Time without an answer after which a request counts as slow by on_overdue().
     /// @return Nothing when no move of the service is running or its usual latency is not known yet.
-    [[nodiscard]] std::optional<time_ms> slow_limit(const std::string& service,
-                                                    const std::string& route) const;
+    [[nodiscard]] std::optional<time_ms> slow_limit(const sent_request& request) const;
+    /// @brief Records that a request has been sent.
+    void on_sent(const sent_request& request);
     /// @brief Records a request that has reached its slow_limit() without an answer.
     void on_overdue(const sent_request& request);
     /// @brief Records the outcome of a request.
@@ -104,7 +108,7 @@
     /// @brief The state of each move that this VM drives, as text for logs.
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> evidence(time_ms now) const;
     /// @brief Adds the announced shares and the counted outcomes to the report of this VM.
-    void fill(time_ms now, vm_report& report) const;
+    void fill(vm_report& report) const;
     /// @brief Whether a move is ordered or active.
     [[nodiscard]] bool has_running_move() const;
 
@@ -121,6 +125,8 @@
         /// Newest share announced by the driver, 0 to 1, and the time of the announcement.
         double announced_share = 0;
         time_ms announced_share_at{-10'000};
+        /// Share of the target that this VM, as the driver, has decided on last.
+        double share = 0;
         /// Share of the target at the end of the first stage.
         double first_share = 0;
         /// Requests that the target version is owed by its share and has not received yet.
@@ -130,6 +136,17 @@
         service_outcomes outcomes_before_stage;
         time_ms last_write_at{-10'000};
     };
+    /// Requests to a service during a move.
+    struct traffic {
+        /// Part of the move's duration that has passed.
+        double duration_fraction = 0;
+        /// Requests to the target so far.
+        double to_target = 0;
+        /// Requests in the whole duration, at the rate so far.
+        double expected = 0;
+        /// Requests that a bad target may get in the whole duration.
+        double exposure_limit = 0;
+    };
     /// The latest latencies, and their 95th percentile.
     struct latency_estimate {
         std::deque<double> recent_ms;
@@ -151,13 +168,14 @@
     void advance_move(time_ms now, move_state& move, std::vector<move_write>& writes);
     [[nodiscard]] service_outcomes outcomes_of(const move_state& move) const;
     [[nodiscard]] version_judgement judge(const move_state& move) const;
-    [[nodiscard]] bool exposure_allows(time_ms now, const move_state& move, double share,
-                                       double margin) const;
-    [[nodiscard]] double stage_share(time_ms now, const move_state& move) const;
+    [[nodiscard]] traffic traffic_of(time_ms now, const move_state& move) const;
+    [[nodiscard]] static bool exposure_allows(const traffic& seen, double share, double until, double margin);
+    [[nodiscard]] double first_stage_share(const move_state& move, const traffic& seen) const;
+    [[nodiscard]] double current_share(time_ms now, const move_state& move, version_verdict verdict) const;
     [[nodiscard]] bool stage_passed(time_ms now, const move_state& move,
                                     const version_judgement& total) const;
     [[nodiscard]] std::string describe(const move_state& move, const version_judgement& judgement) const;
-    [[nodiscard]] std::optional<double> slow_latency_ms(const std::string& route) const;
+    [[nodiscard]] std::optional<double> slow_latency_ms(const sent_request& request) const;
     [[nodiscard]] double target_share(time_ms now, const move_state& move) const;
 
     double exposure_share_;
@@ -169,8 +187,8 @@
     std::map<std::string, std::string> stable_versions_;
     // Outcomes that this VM counted; key: service/version/route.
     std::map<std::string, version_tally> own_tallies_;
-    // By route.
-    std::map<std::string, latency_baseline> baselines_;
+    // By route, and by whether the object was expected to be warm.
+    std::map<std::pair<std::string, bool>, latency_baseline> baselines_;
     // Tally keys of requests that were answered in time, by the moment at which a slow request of the same
     // age would be known as slow. Counted at once, quick answers would hide slow ones that are still running.
     std::multimap<time_ms, std::string> maturing_;
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -15,6 +15,8 @@
 
 /// @brief Outcomes of one version of one service at one VM since the start of its process.
 struct version_tally {
+    /// Requests that were sent to an endpoint.
+    std::uint64_t sent = 0;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
     /// Requests whose latency says something about the version: neither cold nor without a known usual
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -384,7 +384,7 @@
     registry_.fill(monotonic_now(), made, audience, full);
     if (audience == report_audience::same_region) selector_.shift_limiter().fill(made);
     made.usage = limiter_.usage(full);
-    moves_.fill(now, made);
+    moves_.fill(made);
     return made;
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -299,13 +299,15 @@
     {
         const scoped_deadline limit(deadlines_, context.deadline,
                                     [&current_attempt] { current_attempt.abort(); });
+        const sent_request sent{context.service_name, endpoint->registration.version,
+                                context.route->name.value, choice.warm};
+        moves_.on_sent(sent);
         std::optional<scoped_deadline> slow_mark;
-        const auto slow_after = moves_.slow_limit(context.service_name, context.route->name.value);
+        const auto slow_after = moves_.slow_limit(sent);
         if (slow_after && started >= endpoint->cold_until) {
             slow_mark.emplace(deadlines_, started + choice.wait + *slow_after, [&] {
                 overdue = true;
-                moves_.on_overdue(
-                    {context.service_name, endpoint->registration.version, context.route->name.value});
+                moves_.on_overdue(sent);
             });
         }
         result = co_await current_attempt.run(endpoint->registration.address,
@@ -356,7 +358,7 @@
     // Neither the wait for a slot nor the latency of a cold endpoint says anything about the version.
     const bool cold = monotonic_now() < endpoint.cold_until;
     const bool timed = !cold && !overdue;
-    const sent_request sent{context.service_name, version, route};
+    const sent_request sent{context.service_name, version, route, choice.warm};
     const answer_timing timing{static_cast<double>((duration - choice.wait).count), choice.wait > time_ms{0}};
     if (result.outcome == attempt_end::abandoned && context.request->caller_left) {
         if (timed) moves_.on_abandoned(sent, timing.latency_ms);
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -81,6 +81,7 @@
         item.append(Json::UInt64(tally.failed));
         item.append(Json::UInt64(tally.slow));
         item.append(Json::UInt64(tally.timed));
+        item.append(Json::UInt64(tally.sent));
         list.append(std::move(item));
     }
     return list;
@@ -263,7 +264,8 @@
         decode_usage(params, report);
         decode_limits(params, report);
         for (const auto& item : params["out"]) {
-            report.outcomes.emplace_back(item[0].asString(), version_tally{.answered = item[1].asUInt64(),
+            report.outcomes.emplace_back(item[0].asString(), version_tally{.sent = item[5].asUInt64(),
+                                                                           .answered = item[1].asUInt64(),
                                                                            .failed = item[2].asUInt64(),
                                                                            .timed = item[4].asUInt64(),
                                                                            .slow = item[3].asUInt64()});
