--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -27,7 +27,7 @@
     report.objects = {{1, {5, 0xffffffff}}, {2, {7}}, {3, {}}};
     report.region_sends = {{0xffffffff, 1'000'000'000'000}, {8, 1}};
     report.usage = {{"ward", {10, -2}}};
-    report.outcomes = {{"s/v/r", {3, 2, 1}}};
+    report.outcomes = {{"s/v/r", {.sent = 12, .answered = 10, .failed = 2, .timed = 9, .slow = 1}}};
     report.limits = {
         {7, {{2.125, time_ms{40}}}, {3, 2}}, {8, {{std::nullopt, time_ms{0}}}, {}}, {9, {}, {1, 0}}};
     report.move_shares = {{"s", 0.15}};
@@ -45,7 +45,11 @@
     CHECK(decoded.objects == report.objects);
     CHECK(decoded.region_sends == report.region_sends);
     CHECK(decoded.usage.at(0).second.admitted == -2);
+    CHECK(decoded.outcomes.at(0).second.sent == 12);
+    CHECK(decoded.outcomes.at(0).second.answered == 10);
     CHECK(decoded.outcomes.at(0).second.failed == 2);
+    CHECK(decoded.outcomes.at(0).second.timed == 9);
+    CHECK(decoded.outcomes.at(0).second.slow == 1);
     REQUIRE(decoded.limits.size() == 3);
     CHECK(decoded.limits[0].endpoint == 7);
     CHECK(decoded.limits[0].answer->per_s == 2.125);
