Heed endpoints that say that they leave or want a pause; compare latencies by service time

The selector asks it once per endpoint; when all endpoints of a service pause, callers are refused at once with a Retry-After between the first end of a pause and half as much later. Words of another process (421), of an answer that broke off or of another attempt are not read. A value that is no number, or a header that comes twice, is logged and changes nothing. Evidence: 'platform trouble: an endpoint that says that it leaves...' and '...that asks for a pause...' with a stand-in that says both; 'endpoint notice: *'.

It is now one latency per route, relative to the usual service time that the selector knows for warm and cold objects, without the round trip.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -54,11 +54,13 @@
     if (registration.warmup_left > time_ms{0}) {
         entry->cold_until = now + registration.warmup_left + cold_margin;
     }
-    const auto removed = removed_limits_.find(registration.id.value);
-    if (removed != removed_limits_.end()) {
-        if (removed->second.started_unix_ms == registration.started_unix_ms)
+    const auto removed = removed_.find(registration.id.value);
+    if (removed != removed_.end()) {
+        if (removed->second.started_unix_ms == registration.started_unix_ms) {
             entry->limit = removed->second.limit;
-        removed_limits_.erase(removed);
+            entry->notice = removed->second.notice;
+        }
+        removed_.erase(removed);
     }
     by_service_[registration.service].push_back(entry);
     by_tag_[entry->tag] = entry;
@@ -71,8 +73,9 @@
         if (!found->second->expires) found->second->expires = now + outage_grace;
         return;
     }
-    if (found->second->limit.per_s())
-        removed_limits_[id] = {found->second->registration.started_unix_ms, found->second->limit, now};
+    const auto& endpoint = *found->second;
+    if (endpoint.limit.per_s() || endpoint.notice.in_force(now))
+        removed_[id] = {endpoint.registration.started_unix_ms, endpoint.limit, endpoint.notice, now};
     detach(*found->second);
     by_id_.erase(found);
 }
@@ -99,8 +102,8 @@
     }
     for (const auto& id : ended)
         remove(now, id, false);
-    std::erase_if(removed_limits_,
-                  [now](const auto& entry) { return now - entry.second.removed > removed_limit_time; });
+    std::erase_if(removed_,
+                  [now](const auto& entry) { return now - entry.second.removed > removed_word_time; });
 }
 
 void endpoint_registry::set_drained_zones(time_ms now, std::set<std::string> zones, time_ms warmup) {
@@ -125,6 +128,12 @@
     return found == by_id_.end() ? nullptr : found->second;
 }
 
+std::size_t endpoint_registry::endpoints_without_requests(time_ms now) const {
+    return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(), [now](const auto& entry) {
+        return entry.second->notice.in_force(now);
+    }));
+}
+
 std::size_t endpoint_registry::limited_endpoint_count() const {
     return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(), [](const auto& entry) {
         return entry.second->limit.per_s().has_value();
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/endpoint_limit.h"
+#include "coordination/endpoint_notice.h"
 #include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
@@ -84,6 +85,7 @@
     double cold_tokens = 1;
     time_ms cold_tokens_updated{0};
     endpoint_limit limit;
+    endpoint_notice notice;
     recent_objects warm_objects;
 };
 
@@ -95,8 +97,8 @@
     static constexpr time_ms outage_grace{1900};
     /// Added to the remaining warm-up time that an endpoint registers, for the delay of the registration.
     static constexpr time_ms cold_margin{500};
-    /// The limit of a removed endpoint is kept for this long, in case the same process registers again.
-    static constexpr time_ms removed_limit_time{30'000};
+    /// What a removed endpoint has said is kept for this long, in case the same process registers again.
+    static constexpr time_ms removed_word_time{30'000};
 
     explicit endpoint_registry(std::unordered_map<std::string, std::string> zone_regions)
         : zone_regions_(std::move(zone_regions)) {}
@@ -127,6 +129,8 @@
     endpoints_of_service(const std::string& service) const;
     [[nodiscard]] std::shared_ptr<endpoint_state> find(const std::string& id) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
+    /// @brief Number of endpoints that leave or have asked for a pause, by their own answers.
+    [[nodiscard]] std::size_t endpoints_without_requests(time_ms now) const;
     /// @brief Number of endpoints with a limit in force.
     [[nodiscard]] std::size_t limited_endpoint_count() const;
 
@@ -158,14 +162,15 @@
     // Last reported requests in flight by VM, as pairs of endpoint tag and count.
     std::map<std::string, std::vector<std::pair<std::uint32_t, int>>> reported_in_flight_;
     std::set<std::string> drained_zones_;
-    /// Limit of an endpoint whose registration was removed.
-    struct removed_limit {
+    /// What an endpoint whose registration was removed has said.
+    struct removed_endpoint {
         std::int64_t started_unix_ms = 0;
         endpoint_limit limit;
+        endpoint_notice notice;
         time_ms removed{0};
     };
     // By id. A registration that lapsed in a store outage comes back while the process goes on.
-    std::unordered_map<std::string, removed_limit> removed_limits_;
+    std::unordered_map<std::string, removed_endpoint> removed_;
 };
 
 } // namespace lacewing
--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -19,6 +19,8 @@
 constexpr double cross_zone_cost_ms_per_kb = 4.0;
 // For this long, the load report of an endpoint is preferred to the reports of the VMs.
 constexpr time_ms load_report_valid{200};
+// Callers that are refused because all endpoints pause come back within this part of the pause after its end.
+constexpr double pause_end_spread = 0.5;
 // Half-lives of what was learned from attempts, so that a recovered endpoint is tried again.
 constexpr double failure_share_half_life_ms = 2500;
 constexpr double service_time_ratio_half_life_ms = 6000;
@@ -243,17 +245,31 @@
     return limit ? std::min(slots, *limit * times.mean_ms / 1000) : slots;
 }
 
+// Counts an endpoint that would be usable but for the pause that it has asked for.
+void endpoint_selector::note_pause(time_ms now, const endpoint_state& endpoint) {
+    const auto end = endpoint.notice.pause_end(now);
+    if (!end) return;
+    paused_.first_end = paused_.count == 0 ? *end : std::min(paused_.first_end, *end);
+    ++paused_.count;
+}
+
 // Finds the best usable endpoint of each region.
 void endpoint_selector::collect_candidates(time_ms now, const endpoint_request& request,
                                            const backend_service* service, const service_times& times) {
     candidates_.clear();
     held_back_ = {};
+    paused_ = {};
     const std::uint64_t hash_input = request.object != 0 ? request.object : random_();
     for (const auto& endpoint : registry_.endpoints_of_service(std::string(request.service))) {
         decay(now, *endpoint);
         const auto slots = static_cast<double>(endpoint->registration.slots);
         auto& candidates = candidates_of(endpoint->region_tag);
-        if (!usable(now, *endpoint, request, service)) {
+        const bool is_usable = usable(now, *endpoint, request, service);
+        if (is_usable && !endpoint->notice.takes_requests(now)) {
+            note_pause(now, *endpoint);
+            continue;
+        }
+        if (!is_usable) {
             const bool failed = now < endpoint->suspended_until || endpoint->replaced ||
                                 endpoint->consecutive_failures >= failures_to_suspend;
             if (failed) candidates.capacity.failed_slots += slots;
@@ -313,15 +329,24 @@
     // The demand for a limited endpoint decides which part of its limit this VM gets.
     if (held_back_.best != nullptr && (!best || best->full || held_back_.cost < best->cost))
         held_back_.best->limit.on_held_back();
+    choice.paused_endpoints = paused_.count;
     if (!best) {
         choice.no_usable_endpoint = true;
         choice.retry_after = no_usable_endpoint_retry_after;
+        if (paused_.count > 0) {
+            // Spread, so that the callers do not all come back at the end of the pause.
+            std::uniform_real_distribution<double> spread(1, 1 + pause_end_spread);
+            const auto left = static_cast<double>((paused_.first_end - now).count);
+            choice.retry_after = time_ms{static_cast<std::int64_t>(std::ceil(left * spread(random_)))};
+        }
         return choice;
     }
     const auto left_ms = static_cast<double>(request.left.count);
     choice.expected = time_ms{static_cast<std::int64_t>(best->expected_ms)};
     choice.wait = time_ms{static_cast<std::int64_t>(best->wait_ms)};
     choice.warm = best->warm_probability >= warm_probability_after_send;
+    choice.round_trip = time_ms{static_cast<std::int64_t>(round_trip_ms(*best->endpoint))};
+    if (times.samples >= min_samples) choice.usual_ms = choice.warm ? times.warm_ms : times.cold_ms;
     // Only measured service times justify a refusal. With a wrong initial guess, all requests would be
     // refused and the guess never corrected.
     const bool measured = times.samples >= min_samples;
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -57,6 +57,10 @@
     time_ms wait{0};
     /// The object is expected to be warm at the endpoint.
     bool warm = false;
+    /// Usual service time of such a request, warm or not, at any endpoint; 0 if unknown.
+    double usual_ms = 0;
+    /// Part of `expected` that is spent on the network.
+    time_ms round_trip{0};
     /// For refusals: time after which the caller should try again.
     time_ms retry_after{0};
     /// The service has no usable endpoint for this request, whatever the load.
@@ -65,6 +69,8 @@
     std::size_t limited_regions = 0;
     /// Usable endpoints that take no further request now, because of the limits that they have named.
     std::size_t limited_endpoints = 0;
+    /// Endpoints that would be usable but have asked for a pause.
+    std::size_t paused_endpoints = 0;
 };
 
 /// @brief How an attempt at an endpoint ended, by what it says about the endpoint.
@@ -150,6 +156,13 @@
         double cost = 0;
     };
 
+    /// Endpoints that only the pauses that they have asked for keep from a request.
+    struct paused_endpoints {
+        std::size_t count = 0;
+        /// When the first of the pauses ends.
+        time_ms first_end{0};
+    };
+
     /// The usable endpoints of one region for a request.
     struct region_candidates {
         std::uint32_t region = 0;
@@ -178,6 +191,7 @@
     scored score(time_ms now, const std::shared_ptr<endpoint_state>& endpoint,
                  const endpoint_request& request, const service_times& times) const;
     void apply_limit(time_ms now, scored& candidate);
+    void note_pause(time_ms now, const endpoint_state& endpoint);
     static double slots_within_limit(const endpoint_state& endpoint, const service_times& times);
     static double preference_cost_ms(const endpoint_state& endpoint, std::uint64_t hash_input);
     time_ms retry_after(double max_wait_ms, double left_ms);
@@ -200,6 +214,7 @@
     // Candidates of the request that is being placed, by region; kept between calls to avoid allocation.
     std::vector<region_candidates> candidates_;
     held_back_endpoints held_back_;
+    paused_endpoints paused_;
     std::vector<region_capacity> capacities_;
     // Measured network round trips by zone.
     std::unordered_map<std::string, double> round_trips_ms_;
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -60,8 +60,7 @@
 constexpr std::size_t baseline_answers = 64;
 // With fewer answers, the longest latency stands for the quantile.
 constexpr std::size_t full_baseline_answers = 40;
-// Answers of the old version before the estimate is used. If most objects are cached, the first few answers
-// are often all quick.
+// Answers of the old version before the estimate is used; the first few may all be quick.
 constexpr std::size_t min_baseline_answers = 20;
 // Without a newer announcement for this long, the announced share is cut to that of the first stage.
 constexpr time_ms announcement_lifetime{2000};
@@ -172,33 +171,33 @@
     return {stable, false};
 }
 
-void version_mover::latency_estimate::add(double latency_ms) {
-    if (recent_ms.size() == baseline_answers) recent_ms.pop_front();
-    recent_ms.push_back(latency_ms);
-    std::vector<double> sorted(recent_ms.begin(), recent_ms.end());
+void version_mover::latency_estimate::add(double relative_latency) {
+    if (recent.size() == baseline_answers) recent.pop_front();
+    recent.push_back(relative_latency);
+    std::vector<double> sorted(recent.begin(), recent.end());
     const double quantile = sorted.size() < full_baseline_answers ? 1 : baseline_quantile;
     const auto rank = static_cast<std::size_t>(quantile * static_cast<double>(sorted.size()));
     const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(std::min(rank, sorted.size() - 1));
     std::nth_element(sorted.begin(), at, sorted.end());
-    p95_ms = *at;
+    p95 = *at;
 }
 
 bool version_mover::latency_estimate::known() const {
-    return recent_ms.size() >= min_baseline_answers;
+    return recent.size() >= min_baseline_answers;
 }
 
-std::optional<double> version_mover::latency_baseline::p95_ms() const {
-    if (unqueued.known()) return unqueued.p95_ms;
-    if (all.known()) return all.p95_ms;
+std::optional<double> version_mover::latency_baseline::p95() const {
+    if (unqueued.known()) return unqueued.p95;
+    if (all.known()) return all.p95;
     return std::nullopt;
 }
 
 // Latency above which the answer to a request is slow.
 std::optional<double> version_mover::slow_latency_ms(const sent_request& request) const {
-    const auto baseline = baselines_.find({request.route, request.warm});
-    const auto usual = baseline == baselines_.end() ? std::nullopt : baseline->second.p95_ms();
-    if (!usual) return std::nullopt;
-    return *usual * slow_factor;
+    const auto baseline = baselines_.find(request.route);
+    const auto relative = baseline == baselines_.end() ? std::nullopt : baseline->second.p95();
+    if (!relative || request.usual_ms <= 0) return std::nullopt;
+    return *relative * request.usual_ms * slow_factor;
 }
 
 std::optional<time_ms> version_mover::slow_limit(const sent_request& request) const {
@@ -230,10 +229,10 @@
     const auto found = moves_.find(request.service);
     const bool is_target = found != moves_.end() && request.version == found->second.order.target_version;
     const auto limit = slow_latency_ms(request);
-    if (timing && !failed && !is_target) {
-        auto& baseline = baselines_[{request.route, request.warm}];
-        baseline.all.add(timing->latency_ms);
-        if (!timing->queued) baseline.unqueued.add(timing->latency_ms);
+    if (timing && !failed && !is_target && request.usual_ms > 0) {
+        auto& baseline = baselines_[request.route];
+        baseline.all.add(timing->latency_ms / request.usual_ms);
+        if (!timing->queued) baseline.unqueued.add(timing->latency_ms / request.usual_ms);
     }
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
     auto& tally = own_tallies_[tally_key(request)];
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -29,9 +29,9 @@
     const std::string& service;
     const std::string& version;
     const std::string& route;
-    /// The endpoint was expected to handle the object faster, having handled it lately. Endpoints of a new
-    /// version have handled few objects, so the usual latency is known apart for such requests.
-    bool warm = false;
+    /// Usual service time of such a request; 0 if unknown. It is shorter where the object is warm. Latencies
+    /// are compared relative to it, because endpoints of a new version have handled few objects.
+    double usual_ms = 0;
 };
 
 /// @brief How long an answer took.
@@ -147,11 +147,11 @@
         /// Requests that a bad target may get in the whole duration.
         double exposure_limit = 0;
     };
-    /// The latest latencies, and their 95th percentile.
+    /// The latest latencies relative to the usual service time, and their 95th percentile.
     struct latency_estimate {
-        std::deque<double> recent_ms;
-        double p95_ms = 0;
-        void add(double latency_ms);
+        std::deque<double> recent;
+        double p95 = 0;
+        void add(double relative_latency);
         [[nodiscard]] bool known() const;
     };
     /// Usual latency of a route, estimated from the versions that are not the target of a move.
@@ -159,7 +159,7 @@
         latency_estimate all;
         /// Without answers to requests that had to wait: the expected wait is uncertain under load.
         latency_estimate unqueued;
-        [[nodiscard]] std::optional<double> p95_ms() const;
+        [[nodiscard]] std::optional<double> p95() const;
     };
     void count_slow(const sent_request& request);
     void count_matured(time_ms now);
@@ -187,8 +187,8 @@
     std::map<std::string, std::string> stable_versions_;
     // Outcomes that this VM counted; key: service/version/route.
     std::map<std::string, version_tally> own_tallies_;
-    // By route, and by whether the object was expected to be warm.
-    std::map<std::pair<std::string, bool>, latency_baseline> baselines_;
+    // By route.
+    std::map<std::string, latency_baseline> baselines_;
     // Tally keys of requests that were answered in time, by the moment at which a slow request of the same
     // age would be known as slow. Counted at once, quick answers would hide slow ones that are still running.
     std::multimap<time_ms, std::string> maturing_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -567,6 +567,8 @@
     add("lacewing_refused_by_shift_limit_total", counted.refused_by_shift_limit);
     add("lacewing_refused_by_endpoint_limits_total", counted.refused_by_endpoint_limits);
     add("lacewing_sent_to_limited_endpoints_total", counted.sent_to_limited_endpoints);
+    add("lacewing_refused_by_endpoint_pauses_total", counted.refused_by_endpoint_pauses);
+    add("lacewing_endpoints_leaving_or_paused", registry_.endpoints_without_requests(monotonic_now()));
     add("lacewing_limited_endpoints", registry_.limited_endpoint_count());
     for (const auto& row : all_error_answers()) {
         const auto count = counted.refused[static_cast<std::size_t>(row.kind)];
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -258,6 +258,10 @@
         ++counters_.refused_by_shift_limit;
         detail += fmt::format("; {} other regions closed by the limit on shifts", choice.limited_regions);
     }
+    if (choice.paused_endpoints > 0) {
+        ++counters_.refused_by_endpoint_pauses;
+        detail += fmt::format("; {} endpoints have asked for a pause", choice.paused_endpoints);
+    }
     if (choice.limited_endpoints > 0) {
         ++counters_.refused_by_endpoint_limits;
         detail += fmt::format("; {} endpoints at the limits that they have named", choice.limited_endpoints);
@@ -286,12 +290,12 @@
     selector_.on_send(started, *endpoint, query, context.service);
     if (endpoint->limit.per_s()) ++counters_.sent_to_limited_endpoints;
     // The head of a long answer tells the limit well before the end of its body.
-    const answer_sink learning_sink{
-        [this, &endpoint, &sink](const endpoint_answer& answer, std::optional<std::uint64_t> length) {
-            learn_endpoint_limit(*endpoint, answer);
-            return sink.begin(answer, length);
-        },
-        sink.write};
+    const answer_sink learning_sink{[this, &context, &endpoint, &sink](const endpoint_answer& answer,
+                                                                       std::optional<std::uint64_t> length) {
+                                        learn_endpoint_word(context, *endpoint, answer);
+                                        return sink.begin(answer, length);
+                                    },
+                                    sink.write};
     endpoint_attempt current_attempt(pool_, deadlines_, dialect_);
     context.request->on_disconnect = [&current_attempt] { current_attempt.abort(); };
     endpoint_result result;
@@ -300,12 +304,12 @@
         const scoped_deadline limit(deadlines_, context.deadline,
                                     [&current_attempt] { current_attempt.abort(); });
         const sent_request sent{context.service_name, endpoint->registration.version,
-                                context.route->name.value, choice.warm};
+                                context.route->name.value, choice.usual_ms};
         moves_.on_sent(sent);
         std::optional<scoped_deadline> slow_mark;
         const auto slow_after = moves_.slow_limit(sent);
         if (slow_after && started >= endpoint->cold_until) {
-            slow_mark.emplace(deadlines_, started + choice.wait + *slow_after, [&] {
+            slow_mark.emplace(deadlines_, started + choice.wait + choice.round_trip + *slow_after, [&] {
                 overdue = true;
                 moves_.on_overdue(sent);
             });
@@ -323,7 +327,7 @@
         if (fields.count(dialect_.load) > 0)
             endpoint_selector::on_load_report(now, *endpoint, view(fields[dialect_.load]));
         if (result.answer->status == 421) endpoint->replaced = true;
-        if (!result.streamed) learn_endpoint_limit(*endpoint, *result.answer);
+        if (!result.streamed) learn_endpoint_word(context, *endpoint, *result.answer);
     }
     selector_.on_end(now, *endpoint, query, started, choice.warm, result.outcome, context.service);
     record_version_outcome(context, *endpoint, choice, result, now - started, overdue);
@@ -334,10 +338,37 @@
     co_return result;
 }
 
-// Records the limit that an answer names, or that it names none.
-void request_flow::learn_endpoint_limit(endpoint_state& endpoint, const endpoint_answer& answer) {
+// Records what an endpoint says of itself in an answer: that it leaves, that it wants a pause, and its limit.
+void request_flow::learn_endpoint_word(const request_context& context, endpoint_state& endpoint,
+                                       const endpoint_answer& answer) {
     // Another process answers 421 at the address.
     if (answer.status == 421) return;
+    const auto& id = endpoint.registration.id.value;
+    const auto leaving = view(answer.fields[dialect_.leaving]);
+    if (leaving == "1") {
+        if (endpoint.notice.on_leaving())
+            log(log_level::info, "endpoint_leaving", {{"endpoint", id}, {"request", context.attempt_id}});
+    } else if (!leaving.empty()) {
+        log(log_level::warn, "endpoint_leaving_rejected", {{"endpoint", id}, {"value", leaving}});
+    }
+    const auto pauses = answer.fields.count(http::field::retry_after);
+    if (answer.status == 503 && pauses > 0) {
+        const auto text = view(answer.fields[http::field::retry_after]);
+        const auto pause = pauses == 1 ? parse_endpoint_pause(text) : std::nullopt;
+        if (pause) {
+            endpoint.notice.on_pause(monotonic_now(), *pause);
+            log(log_level::info, "endpoint_pause",
+                {{"endpoint", id}, {"ms", pause->count}, {"request", context.attempt_id}});
+        } else {
+            log(log_level::warn, "endpoint_pause_rejected",
+                {{"endpoint", id}, {"value", text}, {"count", pauses}});
+        }
+    }
+    learn_endpoint_limit(endpoint, answer);
+}
+
+// Records the limit that an answer names, or that it names none.
+void request_flow::learn_endpoint_limit(endpoint_state& endpoint, const endpoint_answer& answer) {
     const auto count = answer.fields.count(dialect_.limit);
     const auto text = view(answer.fields[dialect_.limit]);
     const auto per_s = count == 1 ? parse_endpoint_limit(text) : std::nullopt;
@@ -358,8 +389,9 @@
     // Neither the wait for a slot nor the latency of a cold endpoint says anything about the version.
     const bool cold = monotonic_now() < endpoint.cold_until;
     const bool timed = !cold && !overdue;
-    const sent_request sent{context.service_name, version, route, choice.warm};
-    const answer_timing timing{static_cast<double>((duration - choice.wait).count), choice.wait > time_ms{0}};
+    const sent_request sent{context.service_name, version, route, choice.usual_ms};
+    const answer_timing timing{static_cast<double>((duration - choice.wait - choice.round_trip).count),
+                               choice.wait > time_ms{0}};
     if (result.outcome == attempt_end::abandoned && context.request->caller_left) {
         if (timed) moves_.on_abandoned(sent, timing.latency_ms);
         return;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -34,6 +34,8 @@
     std::uint64_t refused_by_shift_limit = 0;
     /// Refusals for which another endpoint was usable, beyond the limit that it has named.
     std::uint64_t refused_by_endpoint_limits = 0;
+    /// Refusals for which another endpoint was usable but for the pause that it has asked for.
+    std::uint64_t refused_by_endpoint_pauses = 0;
     /// Sends to endpoints with a limit in force.
     std::uint64_t sent_to_limited_endpoints = 0;
     /// Error answers by error_kind.
@@ -109,6 +111,8 @@
     boost::asio::awaitable<caller_answer> forward(request_context& context, const answer_sink& sink);
     boost::asio::awaitable<endpoint_result> attempt(request_context& context, const endpoint_request& query,
                                                     const endpoint_choice& choice, const answer_sink& sink);
+    void learn_endpoint_word(const request_context& context, endpoint_state& endpoint,
+                             const endpoint_answer& answer);
     void learn_endpoint_limit(endpoint_state& endpoint, const endpoint_answer& answer);
     void record_version_outcome(const request_context& context, const endpoint_state& endpoint,
                                 const endpoint_choice& choice, const endpoint_result& result,
--- a/src/protocol/caller_dialect.h
+++ b/src/protocol/caller_dialect.h
@@ -26,6 +26,8 @@
     std::string_view load;
     /// Header with the requests per second that the answering endpoint takes from all VMs together.
     std::string_view limit;
+    /// Header of all answers of an endpoint that is leaving, with the value "1".
+    std::string_view leaving;
     /// Path at which callers request the addresses of entry VMs.
     std::string_view lookup_path;
     /// Path of the readiness check.
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -262,13 +262,33 @@
     return execution_counts_[id];
 }
 
+int platform_stand_in::arrival_count(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return arrival_counts_[id];
+}
+
+void platform_stand_in::set_word(const std::string& id, const endpoint_word& word) {
+    const std::lock_guard lock(mutex_);
+    words_[id] = word;
+}
+
 asio::awaitable<http_response> platform_stand_in::handle_endpoint_request(std::string id, std::string version,
                                                                           http_request request) {
     const auto& names = platform::dialect;
     if (request[names.expected_endpoint] != id) co_return make_response(421, "{}");
+    endpoint_word word;
     {
         const std::lock_guard lock(mutex_);
-        ++execution_counts_[id];
+        word = words_[id];
+        ++arrival_counts_[id];
+        if (word.pause.empty()) ++execution_counts_[id];
+    }
+    if (!word.pause.empty()) {
+        auto refusal = make_response(503, "{}");
+        refusal.set(names.attempt_id, request[names.attempt_id]);
+        refusal.set(names.not_run, "1");
+        refusal.set(boost::beast::http::field::retry_after, word.pause);
+        co_return refusal;
     }
     co_await pause(context_.get_executor(), service_ms);
     auto answer = make_response(version == failing_version ? 500 : 200, "");
@@ -277,6 +297,7 @@
                                 std::string(request.target()), request.body().size());
     answer.set(names.attempt_id, request[names.attempt_id]);
     answer.set(names.load, "1,0,8");
+    if (!word.leaving.empty()) answer.set(names.leaving, word.leaving);
     if (named_limit > 0) answer.set(names.limit, fmt::format("{:.1f}", named_limit.load()));
     co_return answer;
 }
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -55,6 +55,16 @@
     std::atomic<double> named_limit{0};
     /// @brief Endpoints of this version answer 500.
     std::string failing_version;
+    /// @brief What an endpoint says of itself in each answer.
+    struct endpoint_word {
+        /// Value of the header with which an endpoint says that it leaves; empty for none.
+        std::string leaving;
+        /// Retry-After of a 503 that says that the request was not run; empty for the usual answer.
+        std::string pause;
+    };
+    void set_word(const std::string& id, const endpoint_word& word);
+    /// @brief Number of requests that have reached an endpoint, run or not.
+    [[nodiscard]] int arrival_count(const std::string& id);
 
     [[nodiscard]] std::string caller_address(std::size_t vm) const { return address(vm, caller_port_offset); }
     [[nodiscard]] std::string ready_address(std::size_t vm) const { return address(vm, ready_port_offset); }
@@ -96,6 +106,8 @@
     std::map<std::string, std::map<std::string, Json::Value>> objects_;
     std::map<std::string, std::vector<change_event>> history_;
     std::map<std::string, int> execution_counts_;
+    std::map<std::string, int> arrival_counts_;
+    std::map<std::string, endpoint_word> words_;
     // Texts that replace the specs of objects in answers, by the placeholder that stands for each.
     std::map<std::string, std::string> raw_specs_;
 
--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -158,3 +158,64 @@
     platform.put_object("config", "main", platform_stand_in::configuration(9, "next"));
     CHECK(wait_until([&] { return in_force(platform, 1, "next"); }, apply_bound));
 }
+
+// Guards against a request that reaches an endpoint after it has said that it leaves, also while the store is
+// away and its list still shows the endpoint as ready.
+TEST_CASE("platform trouble: an endpoint that says that it leaves gets further requests") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    platform.add_endpoint("e-1", "s");
+    platform.add_endpoint("e-2", "s");
+    REQUIRE(platform.wait_all_ready());
+    for (const bool store_away : {false, true}) {
+        CAPTURE(store_away);
+        platform.store_down = store_away;
+        const std::string leaving = store_away ? "e-2" : "e-1";
+        // No value other than "1" says that the endpoint leaves.
+        platform.set_word(leaving, {"0", ""});
+        const auto arrived_before = platform.arrival_count(leaving);
+        REQUIRE(wait_until([&] {
+            status_with_key(platform, 0, "key");
+            return platform.arrival_count(leaving) > arrived_before + 3;
+        }));
+        platform.set_word(leaving, {"1", ""});
+        const auto said = platform.arrival_count(leaving);
+        REQUIRE(wait_until([&] {
+            status_with_key(platform, 0, "key");
+            return platform.arrival_count(leaving) > said;
+        }));
+        for (int i = 0; i < 30; ++i)
+            CHECK(status_with_key(platform, 0, "key") == (store_away ? 503 : 200));
+        CHECK(platform.arrival_count(leaving) == said + 1);
+    }
+}
+
+TEST_CASE("platform trouble: an endpoint that asks for a pause gets requests before its end") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    // A word that names no pause changes nothing.
+    for (const auto* text : {"-1", "soon", "Sat, 05 Dec 2026 02:14:45 GMT", "nan", "0", "0.0"}) {
+        CAPTURE(text);
+        platform.set_word("e-1", {"", text});
+        const auto before = platform.arrival_count("e-1");
+        for (int i = 0; i < 5; ++i)
+            status_with_key(platform, 0, "key");
+        CHECK(platform.arrival_count("e-1") == before + 5);
+    }
+    platform.set_word("e-1", {"", "1.5"});
+    const auto before = platform.arrival_count("e-1");
+    CHECK(status_with_key(platform, 0, "key") == 503);
+    const auto asked = monotonic_now();
+    platform.set_word("e-1", {});
+    // All requests are refused at once with the time at which the endpoint returns.
+    while (monotonic_now() < asked + time_ms{1'300}) {
+        const auto answer =
+            send_request(platform.caller_address(0), "GET", "/read/x", request_headers("id", "key"));
+        CHECK(answer.status == 503);
+        CHECK(std::stod(answer.header("Retry-After")) >= 0.15);
+    }
+    CHECK(platform.arrival_count("e-1") == before + 1);
+    CHECK(wait_until([&] { return status_with_key(platform, 0, "key") == 200; }, apply_bound));
+}
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -99,7 +99,7 @@
         }
         if (now < ordered_at + order.duration) ++requests_in_time;
         if (sent.to_target) last_target_request_at = now;
-        mover.on_sent({service, version_of(sent), sent.route, sent.warm});
+        mover.on_sent({service, version_of(sent), sent.route, usual_ms(sent)});
         pending_request started{vm, sent, now};
         started.failed = std::bernoulli_distribution(fails(sent, now - begin))(random);
         started.latency_ms = draw_latency_ms(sent);
@@ -108,7 +108,7 @@
         const auto end_ms = started.abandoned ? caller_timeout_ms : started.latency_ms;
         const auto limit = started.cold
                                ? std::nullopt
-                               : mover.slow_limit({service, version_of(sent), sent.route, sent.warm});
+                               : mover.slow_limit({service, version_of(sent), sent.route, usual_ms(sent)});
         const auto end = now + time_ms{static_cast<std::int64_t>(end_ms)};
         if (limit && now + *limit < end) overdue_requests.emplace(now + *limit, started);
         started.overdue = limit && now + *limit < end;
@@ -120,7 +120,8 @@
         while (!overdue_requests.empty() && overdue_requests.begin()->first <= now) {
             const auto late = overdue_requests.begin()->second;
             overdue_requests.erase(overdue_requests.begin());
-            movers[late.vm].on_overdue({service, version_of(late.sent), late.sent.route, late.sent.warm});
+            movers[late.vm].on_overdue(
+                {service, version_of(late.sent), late.sent.route, usual_ms(late.sent)});
         }
         while (!running_requests.empty() && running_requests.begin()->first <= now) {
             const auto done = running_requests.begin()->second;
@@ -132,7 +133,7 @@
     struct pending_request;
     void finish(const pending_request& done) {
         auto& mover = movers[done.vm];
-        const sent_request sent{service, version_of(done.sent), done.sent.route, done.sent.warm};
+        const sent_request sent{service, version_of(done.sent), done.sent.route, usual_ms(done.sent)};
         const bool timed = !done.cold && !done.overdue;
         if (done.abandoned) {
             if (timed) mover.on_abandoned(sent, caller_timeout_ms);
@@ -146,6 +147,8 @@
                          timed ? std::optional(answer_timing{done.latency_ms, false}) : std::nullopt);
     }
 
+    [[nodiscard]] static double usual_ms(const request& sent) { return sent.warm ? 180 : 600; }
+
     [[nodiscard]] const std::string& version_of(const request& sent) const {
         return sent.to_target ? new_version : old_version;
     }
