--- a/src/coordination/endpoint_notice.cpp
+++ b/src/coordination/endpoint_notice.cpp
@@ -7,11 +7,12 @@
 namespace lacewing {
 
 std::optional<time_ms> parse_endpoint_pause(std::string_view text) {
+    const bool plain = !text.empty() && text.find_first_not_of("0123456789.") == std::string_view::npos;
+    if (!plain) return std::nullopt;
     double seconds = 0;
     const auto* end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
-    if (parsed.ptr != end || text.empty() || std::signbit(seconds) || std::isnan(seconds))
-        return std::nullopt;
+    if (parsed.ptr != end) return std::nullopt;
     if (parsed.ec == std::errc::result_out_of_range) return max_endpoint_pause;
     if (parsed.ec != std::errc{}) return std::nullopt;
     const double max_seconds = static_cast<double>(max_endpoint_pause.count) / 1000;
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -57,8 +57,10 @@
     CHECK(parse_endpoint_pause("99999999999999999999") == max_endpoint_pause);
     CHECK(parse_endpoint_pause(std::string(400, '9')) == max_endpoint_pause);
     for (const auto* text : {"", "-1", "-0.5", "1e3", "nan", "inf", "1,5", " 1", "1 ", "1s", "0x10",
-                             "Sat, 05 Dec 2026 02:14:45 GMT"})
+                             "Sat, 05 Dec 2026 02:14:45 GMT"}) {
+        CAPTURE(std::string(text));
         CHECK_FALSE(parse_endpoint_pause(text));
+    }
 }
 
 // Guards against requests to an endpoint that has said that it wants none, and against words that outlive the
