Compare latencies with the cold service time and find failures that chance does not explain

Causes: relative to the expected warm or cold time, the few objects that are wrongly expected to be warm made up the 95th percentile of the old version, so only answers of six times the cold time were slow. And the test of failures cannot tell 8 % from 2 %, its smallest low rate.

Change: latencies are relative to the cold service time, with at least 1.1 of it as the baseline, for either version. A route is also bad when its failures would come by chance at the others' rate with a probability below 0.0002.

--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -57,8 +57,8 @@
     time_ms wait{0};
     /// The object is expected to be warm at the endpoint.
     bool warm = false;
-    /// Usual service time of such a request, warm or not, at any endpoint; 0 if unknown.
-    double usual_ms = 0;
+    /// Usual service time of such a request when its object is cold; 0 if unknown.
+    double cold_ms = 0;
     /// Part of `expected` that is spent on the network.
     time_ms round_trip{0};
     /// For refusals: time after which the caller should try again.
--- a/src/coordination/sequential_test.h
+++ b/src/coordination/sequential_test.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 namespace lacewing {
 
@@ -13,4 +15,15 @@
     return hits * std::log(high_rate / low_rate) + misses * std::log((1 - high_rate) / (1 - low_rate));
 }
 
+/// @brief Probability of at least `events` events when `mean` are expected (Poisson).
+inline double tail_probability(std::uint64_t events, double mean) {
+    double fewer = 0;
+    double term = std::exp(-mean);
+    for (std::uint64_t i = 0; i < events; ++i) {
+        fewer += term;
+        term *= mean / static_cast<double>(i + 1);
+    }
+    return std::max(0.0, 1 - fewer);
+}
+
 } // namespace lacewing
--- a/src/coordination/version_judge.cpp
+++ b/src/coordination/version_judge.cpp
@@ -31,9 +31,11 @@
 // Failures, or slow answers, without which no route is bad.
 constexpr std::uint64_t min_failures = 3;
 constexpr std::uint64_t min_slow_answers = 5;
-// A route is bad also without the sequential test when five answers failed (or were slow) and their rate
-// exceeds that of the other versions by the given difference. The test cannot tell rates apart where the
-// others fail often.
+// A route is also bad when its failures would come by chance, at the others' rate, with less than this
+// probability. It is small because the test is repeated many times during a move.
+constexpr double max_chance = 0.0002;
+// A route is also bad when five answers failed (or were slow) and their rate exceeds that of the other
+// versions by the given difference. The tests above cannot tell rates apart where the others fail often.
 constexpr std::uint64_t min_events_for_excess = 5;
 constexpr double min_failure_rate_excess = 0.12;
 constexpr double min_slow_rate_excess = 0.25;
@@ -73,9 +75,14 @@
         const double slow_llr = excess_llr(target.slow, timed, others_slow_rate, slow_rates);
         judgement.failure_llr += failure_llr;
         judgement.slow_llr += slow_llr;
-        const bool fails = (failure_llr >= bad_llr && target.failed >= min_failures) ||
-                           has_clear_excess(target.failed, ratio(target.failed, target.answered),
-                                            others_failure_rate, min_failure_rate_excess);
+        // One failure more than were seen, so that the rate of few answers is not taken for zero.
+        const double expected_failures =
+            static_cast<double>(target.answered) * ratio(others.failed + 1, others.answered + 1);
+        const bool fails =
+            (target.failed >= min_failures &&
+             (failure_llr >= bad_llr || tail_probability(target.failed, expected_failures) < max_chance)) ||
+            has_clear_excess(target.failed, ratio(target.failed, target.answered), others_failure_rate,
+                             min_failure_rate_excess);
         const bool slow =
             (slow_llr >= bad_llr && target.slow >= min_slow_answers) ||
             has_clear_excess(target.slow, ratio(target.slow, timed), others_slow_rate, min_slow_rate_excess);
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -52,6 +52,8 @@
 constexpr double last_exposure_margin = 1;
 // An answer is slow above this multiple of the latency that 19 of 20 answers of the old version stay below.
 constexpr double slow_factor = 1.8;
+// Smallest baseline, relative to the cold service time: the old version may have nearly all objects cached.
+constexpr double min_relative_baseline = 1.1;
 // The same multiple for a request whose caller left. It is lower, because the time waited until then is only
 // a lower bound of the latency.
 constexpr double abandoned_factor = 1.2;
@@ -196,8 +198,8 @@
 std::optional<double> version_mover::slow_latency_ms(const sent_request& request) const {
     const auto baseline = baselines_.find(request.route);
     const auto relative = baseline == baselines_.end() ? std::nullopt : baseline->second.p95();
-    if (!relative || request.usual_ms <= 0) return std::nullopt;
-    return *relative * request.usual_ms * slow_factor;
+    if (!relative || request.cold_ms <= 0) return std::nullopt;
+    return std::max(*relative, min_relative_baseline) * request.cold_ms * slow_factor;
 }
 
 std::optional<time_ms> version_mover::slow_limit(const sent_request& request) const {
@@ -229,10 +231,10 @@
     const auto found = moves_.find(request.service);
     const bool is_target = found != moves_.end() && request.version == found->second.order.target_version;
     const auto limit = slow_latency_ms(request);
-    if (timing && !failed && !is_target && request.usual_ms > 0) {
+    if (timing && !failed && !is_target && request.cold_ms > 0) {
         auto& baseline = baselines_[request.route];
-        baseline.all.add(timing->latency_ms / request.usual_ms);
-        if (!timing->queued) baseline.unqueued.add(timing->latency_ms / request.usual_ms);
+        baseline.all.add(timing->latency_ms / request.cold_ms);
+        if (!timing->queued) baseline.unqueued.add(timing->latency_ms / request.cold_ms);
     }
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
     auto& tally = own_tallies_[tally_key(request)];
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -29,9 +29,9 @@
     const std::string& service;
     const std::string& version;
     const std::string& route;
-    /// Usual service time of such a request; 0 if unknown. It is shorter where the object is warm. Latencies
-    /// are compared relative to it, because endpoints of a new version have handled few objects.
-    double usual_ms = 0;
+    /// Usual service time of such a request when its object is cold; 0 if unknown. Latencies are compared
+    /// relative to it, because endpoints of a new version have handled few objects.
+    double cold_ms = 0;
 };
 
 /// @brief How long an answer took.
@@ -147,7 +147,7 @@
         /// Requests that a bad target may get in the whole duration.
         double exposure_limit = 0;
     };
-    /// The latest latencies relative to the usual service time, and their 95th percentile.
+    /// The latest latencies relative to the cold service time, and their 95th percentile.
     struct latency_estimate {
         std::deque<double> recent;
         double p95 = 0;
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -68,7 +68,9 @@
 }
 
 asio::awaitable<platform::page_result> store_mirror::fetch(std::string kind, bool must_list) {
-    if (must_list) co_return co_await store_.list(kind, list_timeout);
+    if (must_list) {
+        co_return co_await store_.list(kind, list_timeout);
+    }
     co_return co_await store_.watch(kind, kinds_[kind].as_of(), watch_wait(kind), watch_grace);
 }
 
@@ -84,7 +86,9 @@
         if (const auto* problem = std::get_if<platform::call_failed>(&result)) {
             on_failure(now, kind, problem->reason);
             // The first retry tells a silent connection from a store that is away.
-            if (std::exchange(failed_before, true)) co_await wait_random(min_retry_pause, max_retry_pause);
+            if (std::exchange(failed_before, true)) {
+                co_await wait_random(min_retry_pause, max_retry_pause);
+            }
             continue;
         }
         failed_before = false;
--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -129,8 +129,9 @@
     int executions = 0;
     CHECK(wait_until([&] {
         executions = platform.execution_count("e-1");
-        for (int i = 0; i < 10; ++i)
+        for (int i = 0; i < 10; ++i) {
             CHECK(status_with_key(platform, 0, "key") == 200);
+        }
         return platform.execution_count("e-1") == executions;
     }));
 }
--- a/tests/system/silencing_proxy.cpp
+++ b/tests/system/silencing_proxy.cpp
@@ -44,7 +44,7 @@
 asio::awaitable<void> silencing_proxy::relay(std::shared_ptr<link> connection, bool to_server) {
     auto& from = to_server ? connection->client : connection->server;
     auto& to = to_server ? connection->server : connection->client;
-    std::array<char, 16 * 1024> buffer{};
+    std::array<char, 16'384> buffer{};
     for (;;) {
         error_code failure;
         const auto count = co_await from.async_read_some(asio::buffer(buffer),
--- a/tests/version_judge_test.cpp
+++ b/tests/version_judge_test.cpp
@@ -36,6 +36,16 @@
     CHECK(judge_version(two_routes).verdict == version_verdict::bad);
 }
 
+TEST_CASE("version judge: few failures of a version whose predecessor never fails are not found") {
+    constexpr version_tally sound{.answered = 450, .timed = 440, .slow = 5};
+    CHECK(judge_version(on_route({.answered = 43, .failed = 3, .timed = 26}, sound)).verdict ==
+          version_verdict::bad);
+    CHECK(judge_version(on_route({.answered = 74, .failed = 6, .timed = 51}, sound)).verdict ==
+          version_verdict::bad);
+    CHECK(judge_version(on_route({.answered = 74, .failed = 2, .timed = 51}, sound)).verdict !=
+          version_verdict::bad);
+}
+
 TEST_CASE("version judge: load under which both versions fail counts against the new one") {
     constexpr version_tally loaded{.answered = 250, .failed = 75, .timed = 240, .slow = 80};
     CHECK(judge_version(on_route({.answered = 40, .failed = 12, .timed = 38, .slow = 13}, loaded)).verdict !=
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -19,8 +19,6 @@
         bool to_target = false;
         double share_before = 0;
         bool cached = false;
-        /// The VM expects the object to be cached.
-        bool warm = false;
     };
     using failure_probability = std::function<double(const request&, time_ms since_order)>;
 
@@ -89,7 +87,6 @@
         sent.route = std::bernoulli_distribution(0.2)(random) ? "rare" : "usual";
         const bool caches_filled = !sent.to_target && now >= caches_filled_at;
         sent.cached = std::bernoulli_distribution(caches_filled ? old_cached_fraction : 0.2)(random);
-        sent.warm = warmth_known && sent.cached == std::bernoulli_distribution(0.98)(random);
         ++request_count;
         const auto requests_so_far = std::max<std::size_t>(1, request_count);
         sent.share_before = static_cast<double>(target_request_count) / static_cast<double>(requests_so_far);
@@ -99,16 +96,15 @@
         }
         if (now < ordered_at + order.duration) ++requests_in_time;
         if (sent.to_target) last_target_request_at = now;
-        mover.on_sent({service, version_of(sent), sent.route, usual_ms(sent)});
+        mover.on_sent({service, version_of(sent), sent.route, cold_ms});
         pending_request started{vm, sent, now};
         started.failed = std::bernoulli_distribution(fails(sent, now - begin))(random);
         started.latency_ms = draw_latency_ms(sent);
         started.cold = sent.to_target && now < ordered_at + cold_time;
         started.abandoned = started.latency_ms > caller_timeout_ms;
         const auto end_ms = started.abandoned ? caller_timeout_ms : started.latency_ms;
-        const auto limit = started.cold
-                               ? std::nullopt
-                               : mover.slow_limit({service, version_of(sent), sent.route, usual_ms(sent)});
+        const auto limit =
+            started.cold ? std::nullopt : mover.slow_limit({service, version_of(sent), sent.route, cold_ms});
         const auto end = now + time_ms{static_cast<std::int64_t>(end_ms)};
         if (limit && now + *limit < end) overdue_requests.emplace(now + *limit, started);
         started.overdue = limit && now + *limit < end;
@@ -120,8 +116,7 @@
         while (!overdue_requests.empty() && overdue_requests.begin()->first <= now) {
             const auto late = overdue_requests.begin()->second;
             overdue_requests.erase(overdue_requests.begin());
-            movers[late.vm].on_overdue(
-                {service, version_of(late.sent), late.sent.route, usual_ms(late.sent)});
+            movers[late.vm].on_overdue({service, version_of(late.sent), late.sent.route, cold_ms});
         }
         while (!running_requests.empty() && running_requests.begin()->first <= now) {
             const auto done = running_requests.begin()->second;
@@ -133,7 +128,7 @@
     struct pending_request;
     void finish(const pending_request& done) {
         auto& mover = movers[done.vm];
-        const sent_request sent{service, version_of(done.sent), done.sent.route, usual_ms(done.sent)};
+        const sent_request sent{service, version_of(done.sent), done.sent.route, cold_ms};
         const bool timed = !done.cold && !done.overdue;
         if (done.abandoned) {
             if (timed) mover.on_abandoned(sent, caller_timeout_ms);
@@ -147,7 +142,8 @@
                          timed ? std::optional(answer_timing{done.latency_ms, false}) : std::nullopt);
     }
 
-    [[nodiscard]] static double usual_ms(const request& sent) { return sent.warm ? 180 : 600; }
+    /// Usual service time of an object that is not cached.
+    static constexpr double cold_ms = 600;
 
     [[nodiscard]] const std::string& version_of(const request& sent) const {
         return sent.to_target ? new_version : old_version;
@@ -185,8 +181,6 @@
     double old_cached_fraction = 0.7;
     /// When the endpoints of the old version have handled most objects once.
     time_ms caches_filled_at{0};
-    /// The VMs know with few errors which objects are cached.
-    bool warmth_known = false;
     /// Time from the order for which endpoints of the new version are cold.
     time_ms cold_time{0};
     /// Time after which callers abandon a request.
@@ -461,7 +455,6 @@
             CAPTURE(requests_per_s);
             CAPTURE(seed);
             fleet_of_movers fleet(seed);
-            fleet.warmth_known = true;
             fleet.old_cached_fraction = 0.97;
             fleet.caches_filled_at = fleet.now + time_ms{5'000};
             fleet.cold_time = time_ms{3'500};
