Give a move only what its exposure allows while its stage speaks against it

Change: the verdict 'good' gives the planned share only while the answers of the stage itself do not lean the other way (two or more failed or slow); otherwise the share is what the exposure limit still allows.

--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -34,6 +34,8 @@
 // Log likelihood ratio up to which a target that is not judged may go on if its exposure stays within the
 // limit; one slow answer among few is no more.
 constexpr double max_llr_without_verdict = 1.5;
+// A single failure or slow answer in a stage may be chance.
+constexpr std::uint64_t min_events_to_worry = 2;
 // With this many timed answers, a target must look good in the end, and not only not bad.
 constexpr std::uint64_t min_timed_to_lean = 15;
 // Answers that usually suffice to judge a version, and the part of the move's duration that is spent on them.
@@ -338,14 +340,22 @@
     return std::clamp(std::min(wanted, affordable), least, max_first_share);
 }
 
+// Whether the answers of the current stage point against a target that is good by all evidence: a fault that
+// appears only under load shows in the last stages.
+bool version_mover::stage_worries(const move_state& move) const {
+    const auto outcomes = target_outcomes_since(move.outcomes_before_stage, outcomes_of(move));
+    const auto target = target_total(outcomes);
+    return target.failed + target.slow >= min_events_to_worry && leans_bad(judge_version(outcomes));
+}
+
 // Share of the target now. A target that is not found good keeps the share of its stage until the stage is
 // over, and then gets what the limit on its exposure still allows.
-double version_mover::current_share(time_ms now, const move_state& move, version_verdict verdict) const {
+double version_mover::current_share(time_ms now, const move_state& move, bool good) const {
     const auto seen = traffic_of(now, move);
     const auto& stage = stages[move.stage];
     const double planned =
         move.stage == 0 ? first_stage_share(move, seen) : std::max(stage.share, move.first_share);
-    if (verdict == version_verdict::good_enough || seen.expected <= 0) return planned;
+    if (good || seen.expected <= 0) return planned;
     const double allowed = exposure_margin * seen.exposure_limit - seen.to_target;
     if (allowed <= 0) return 0;
     if (seen.duration_fraction < stage.forced_end_fraction) return planned;
@@ -413,7 +423,8 @@
         request_state(phase::active, "ordered");
         return;
     }
-    move.share = current_share(now, move, judgement.verdict);
+    const bool good = judgement.verdict == version_verdict::good_enough && !stage_worries(move);
+    move.share = current_share(now, move, good);
     if (stage_passed(now, move, judgement)) {
         if (move.stage + 1 < stages.size()) {
             enter_stage(now, move, move.stage + 1);
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -171,7 +171,8 @@
     [[nodiscard]] traffic traffic_of(time_ms now, const move_state& move) const;
     [[nodiscard]] static bool exposure_allows(const traffic& seen, double share, double until, double margin);
     [[nodiscard]] double first_stage_share(const move_state& move, const traffic& seen) const;
-    [[nodiscard]] double current_share(time_ms now, const move_state& move, version_verdict verdict) const;
+    [[nodiscard]] double current_share(time_ms now, const move_state& move, bool good) const;
+    [[nodiscard]] bool stage_worries(const move_state& move) const;
     [[nodiscard]] bool stage_passed(time_ms now, const move_state& move,
                                     const version_judgement& total) const;
     [[nodiscard]] std::string describe(const move_state& move, const version_judgement& judgement) const;
