Count the exposure of a move from its order on

What callers could see: on the second move of a service, a version that cannot be judged gets more requests than the limit on exposure.

Cause: the counts of requests go on from the move before, so the traffic of the new move, and with it the limit, was overestimated many times over in its first seconds. Found by reading the change.

Evidence: 'version mover: a version that is not judged gets too many requests after an earlier move' fails 19 of 40 checks without the change and passes; 17 of 17 cases pass. The test fleet now keeps the version with each request, so answers of the first move are not counted for the second.

--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -116,6 +116,11 @@
             updated.stage_started_at = now;
         }
         updated.order = current;
+        if (!same_order) {
+            const auto outcomes = outcomes_of(updated);
+            updated.sent_to_target_before = target_total(outcomes).sent;
+            updated.sent_before = sent_total(outcomes);
+        }
         if (current.state == phase::completed) stable_versions_[order.service] = order.target_version;
         updated_moves[order.service] = updated;
     }
@@ -310,11 +315,11 @@
     const auto outcomes = outcomes_of(move);
     const auto elapsed = static_cast<double>((now - move.order_received_at).count);
     traffic seen;
-    seen.to_target = static_cast<double>(target_total(outcomes).sent);
+    seen.to_target = static_cast<double>(target_total(outcomes).sent - move.sent_to_target_before);
     if (elapsed <= 0) return seen;
     seen.duration_fraction =
         elapsed / static_cast<double>(std::max<std::int64_t>(1, move.order.duration.count));
-    seen.expected = static_cast<double>(sent_total(outcomes)) / seen.duration_fraction;
+    seen.expected = static_cast<double>(sent_total(outcomes) - move.sent_before) / seen.duration_fraction;
     seen.exposure_limit = exposure_share_ * seen.expected + exposure_slack_;
     return seen;
 }
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -134,6 +134,9 @@
         /// Outcomes at the start of the stage, by route. The outcomes of a stage are also compared on their
         /// own, so that good answers of earlier stages do not hide faults that appear later.
         service_outcomes outcomes_before_stage;
+        /// Requests to the target, and to all versions, that were counted before the order.
+        std::uint64_t sent_to_target_before = 0;
+        std::uint64_t sent_before = 0;
         time_ms last_write_at{-10'000};
     };
     /// Requests to a service during a move.
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -18,6 +18,7 @@
         std::string route;
         bool to_target = false;
         double share_before = 0;
+        std::string version;
         bool cached = false;
     };
     using failure_probability = std::function<double(const request&, time_ms since_order)>;
@@ -44,6 +45,21 @@
         }
     }
 
+    /// Orders the next version of the service, after the move before has been completed.
+    void order_next_version(const std::string& version) {
+        old_version = new_version;
+        new_version = version;
+        order.target_version = version;
+        order.state = phase::ordered;
+        order.state_version = "";
+        order.created = ++order.revision;
+        ordered_at = now;
+        request_count = target_request_count = 0;
+        requests_in_time = target_requests_in_time = 0;
+        for (auto& mover : movers)
+            mover.set_orders(now, {order});
+    }
+
     /// Lets the VMs serve the old version before the move is ordered.
     void run_before_order(time_ms run_time, double requests_per_s) {
         for (auto& mover : movers)
@@ -83,7 +99,8 @@
         auto& mover = movers[vm];
         const auto choice = mover.choose(now, "s");
         request sent;
-        sent.to_target = choice.allows("v2");
+        sent.to_target = choice.allows(new_version);
+        sent.version = sent.to_target ? new_version : old_version;
         sent.route = std::bernoulli_distribution(0.2)(random) ? "rare" : "usual";
         const bool caches_filled = !sent.to_target && now >= caches_filled_at;
         sent.cached = std::bernoulli_distribution(caches_filled ? old_cached_fraction : 0.2)(random);
@@ -96,7 +113,7 @@
         }
         if (now < ordered_at + order.duration) ++requests_in_time;
         if (sent.to_target) last_target_request_at = now;
-        mover.on_sent({service, version_of(sent), sent.route, cold_ms});
+        mover.on_sent({service, sent.version, sent.route, cold_ms});
         pending_request started{vm, sent, now};
         started.failed = std::bernoulli_distribution(fails(sent, now - begin))(random);
         started.latency_ms = draw_latency_ms(sent);
@@ -104,7 +121,7 @@
         started.abandoned = started.latency_ms > caller_timeout_ms;
         const auto end_ms = started.abandoned ? caller_timeout_ms : started.latency_ms;
         const auto limit =
-            started.cold ? std::nullopt : mover.slow_limit({service, version_of(sent), sent.route, cold_ms});
+            started.cold ? std::nullopt : mover.slow_limit({service, sent.version, sent.route, cold_ms});
         const auto end = now + time_ms{static_cast<std::int64_t>(end_ms)};
         if (limit && now + *limit < end) overdue_requests.emplace(now + *limit, started);
         started.overdue = limit && now + *limit < end;
@@ -116,7 +133,7 @@
         while (!overdue_requests.empty() && overdue_requests.begin()->first <= now) {
             const auto late = overdue_requests.begin()->second;
             overdue_requests.erase(overdue_requests.begin());
-            movers[late.vm].on_overdue({service, version_of(late.sent), late.sent.route, cold_ms});
+            movers[late.vm].on_overdue({service, late.sent.version, late.sent.route, cold_ms});
         }
         while (!running_requests.empty() && running_requests.begin()->first <= now) {
             const auto done = running_requests.begin()->second;
@@ -128,7 +145,7 @@
     struct pending_request;
     void finish(const pending_request& done) {
         auto& mover = movers[done.vm];
-        const sent_request sent{service, version_of(done.sent), done.sent.route, cold_ms};
+        const sent_request sent{service, done.sent.version, done.sent.route, cold_ms};
         const bool timed = !done.cold && !done.overdue;
         if (done.abandoned) {
             if (timed) mover.on_abandoned(sent, caller_timeout_ms);
@@ -145,10 +162,6 @@
     /// Usual service time of an object that is not cached.
     static constexpr double cold_ms = 600;
 
-    [[nodiscard]] const std::string& version_of(const request& sent) const {
-        return sent.to_target ? new_version : old_version;
-    }
-
     // Endpoints of the old version have most objects cached, those of the new version few. The latency
     // includes a wait for a slot that was not expected.
     double draw_latency_ms(const request& sent) {
@@ -161,7 +174,7 @@
     void store(phase state) {
         if (store_down) return;
         order.state = state;
-        order.state_version = "v2";
+        order.state_version = new_version;
         ++order.revision;
         if (state == phase::completed) completed_at = now;
         for (auto& mover : movers)
@@ -197,8 +210,8 @@
         bool overdue = false;
     };
     const std::string service = "s";
-    const std::string old_version = "v1";
-    const std::string new_version = "v2";
+    std::string old_version = "v1";
+    std::string new_version = "v2";
     time_ms ordered_at = now;
     std::multimap<time_ms, pending_request> running_requests;
     std::multimap<time_ms, pending_request> overdue_requests;
@@ -464,3 +477,25 @@
         }
     }
 }
+
+// Guards against a limit on exposure that counts the requests of an earlier move.
+TEST_CASE("version mover: a version that is not judged gets too many requests after an earlier move") {
+    for (const double requests_per_s : {41.0, 150.0}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            CAPTURE(requests_per_s);
+            CAPTURE(seed);
+            fleet_of_movers fleet(seed);
+            fleet.cold_time = time_ms{3'500};
+            fleet.caller_timeout_ms = 2'000;
+            fleet.run_before_order(time_ms{10'000}, requests_per_s);
+            fleet.run(time_ms{20'000}, requests_per_s, baseline_failure_rate);
+            REQUIRE(fleet.order.state == phase::completed);
+            fleet.order_next_version("v3");
+            // The endpoints stay cold, so the version cannot be judged.
+            fleet.cold_time = time_ms{60'000};
+            fleet.run(time_ms{16'000}, requests_per_s, baseline_failure_rate);
+            CHECK(static_cast<double>(fleet.target_requests_in_time) <=
+                  0.1 * static_cast<double>(fleet.requests_in_time) + 50);
+        }
+    }
+}
