--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -36,7 +36,7 @@
 
 /// @brief How long an answer took.
 struct answer_timing {
-    /// Time until the answer without the expected wait for a slot.
+    /// Time until the answer without the expected wait for a slot and the network round trip.
     double latency_ms = 0;
     /// A wait for a slot was expected.
     bool queued = false;
