--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 
 using namespace lacewing;
@@ -12,6 +13,9 @@
 
 using phase = version_move_order::phase;
 
+/// Failure rate of the old version and of a good one, in every test.
+constexpr double usual_failure_rate = 0.01;
+
 /// Four VMs that move service "s" from v1 to v2 by one stored order; latencies and failures are random.
 struct fleet_of_movers {
     struct request {
@@ -29,6 +33,13 @@
         order.duration = time_ms{16'000};
         order.revision = 1;
         order.created = 1;
+        for (auto& mover : movers) {
+            mover.set_orders(now, {order});
+            observe_versions(mover);
+        }
+    }
+
+    void observe_versions(version_mover& mover) const {
         const std::unordered_map<std::string, std::string> zones{{"z", "r"}};
         endpoint_registry registry(zones);
         for (const auto* version : {"v1", "v2"}) {
@@ -39,10 +50,7 @@
             registration.version = version;
             registry.put(now, registration);
         }
-        for (auto& mover : movers) {
-            mover.set_orders(now, {order});
-            mover.observe_versions(registry, {"s"});
-        }
+        mover.observe_versions(registry, {"s"});
     }
 
     /// Orders the next version of the service, after the move before has been completed.
@@ -64,7 +72,7 @@
     void run_before_order(time_ms run_time, double requests_per_s) {
         for (auto& mover : movers)
             mover.set_orders(now, {});
-        run(run_time, requests_per_s, [](const request&, time_ms) { return 0.01; });
+        run(run_time, requests_per_s, [](const request&, time_ms) { return usual_failure_rate; });
         ordered_at = now;
         request_count = requests_in_time = 0;
         order.created = ++order.revision;
@@ -72,6 +80,23 @@
             mover.set_orders(now, {order});
     }
 
+    /// Ends the process of the driving VM, and its requests; another VM drives the move meanwhile, unless the
+    /// VMs do not notice. The new process reads the order from the store and drives again.
+    void restart_driver(time_ms down_time, bool noticed, double requests_per_s) {
+        const auto vm = driver;
+        stopped = vm;
+        if (noticed) driver = (vm + 1) % movers.size();
+        std::erase_if(running_requests, [vm](const auto& entry) { return entry.second.vm == vm; });
+        std::erase_if(overdue_requests, [vm](const auto& entry) { return entry.second.vm == vm; });
+        run(down_time, requests_per_s, [](const request&, time_ms) { return usual_failure_rate; });
+        movers[vm] = version_mover();
+        ++incarnations[vm];
+        movers[vm].set_orders(now, {order});
+        observe_versions(movers[vm]);
+        stopped.reset();
+        driver = vm;
+    }
+
     void run(time_ms run_time, double requests_per_s, const failure_probability& fails) {
         const auto begin = now;
         std::bernoulli_distribution arrival(requests_per_s / 1000);
@@ -80,22 +105,24 @@
             finish_due();
             if (now.count % 100 != 0) continue;
             for (std::size_t i = 0; i < movers.size(); ++i) {
+                if (i == stopped) continue;
                 const auto writes = movers[i].advance(now, [&](const std::string&) { return i == driver; });
                 for (const auto& write : writes)
                     store(write.order.state);
                 vm_report report;
                 report.vm = {"vm-" + std::to_string(i)};
-                report.incarnation = incarnation_id{i + 1};
+                report.incarnation = incarnation_id{100 * i + incarnations[i]};
                 movers[i].fill(report);
                 for (std::size_t receiver = 0; receiver < movers.size(); ++receiver) {
-                    if (receiver != i) movers[receiver].on_report(now, report);
+                    if (receiver != i && receiver != stopped) movers[receiver].on_report(now, report);
                 }
             }
         }
     }
 
     void serve(const failure_probability& fails, time_ms begin) {
-        const auto vm = std::uniform_int_distribution<std::size_t>(0, movers.size() - 1)(random);
+        auto vm = std::uniform_int_distribution<std::size_t>(0, movers.size() - 1)(random);
+        if (vm == stopped) vm = (vm + 1) % movers.size();
         auto& mover = movers[vm];
         const auto choice = mover.choose(now, "s");
         request sent;
@@ -186,6 +213,9 @@
     std::vector<version_mover> movers;
     version_move_order order;
     std::size_t driver = 0;
+    /// VM whose process does not run.
+    std::optional<std::size_t> stopped;
+    std::vector<std::uint64_t> incarnations{1, 1, 1, 1};
     bool store_down = false;
     /// Fraction of the requests that the new version handles slowly, and by which factor.
     double slow_fraction = 0;
@@ -227,7 +257,7 @@
 };
 
 double baseline_failure_rate(const fleet_of_movers::request&, time_ms) {
-    return 0.01;
+    return usual_failure_rate;
 }
 
 } // namespace
@@ -499,3 +529,57 @@
         }
     }
 }
+
+// Guards against a move whose clock, exposure and evidence begin anew when the VM that drives it restarts.
+TEST_CASE("version mover: a version that is not judged gets too many requests after its driver restarts") {
+    for (const bool always_cold : {true, false}) {
+        for (const bool noticed : {true, false}) {
+            for (const double requests_per_s : {41.0, 150.0}) {
+                for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                    CAPTURE(always_cold);
+                    CAPTURE(noticed);
+                    CAPTURE(requests_per_s);
+                    CAPTURE(seed);
+                    fleet_of_movers fleet(seed);
+                    fleet.cold_time = time_ms{always_cold ? 60'000 : 3'500};
+                    fleet.slow_fraction = always_cold ? 0 : 0.2;
+                    fleet.slow_latency_factor = 4;
+                    fleet.caller_timeout_ms = 2'000;
+                    fleet.run_before_order(time_ms{10'000}, requests_per_s);
+                    fleet.run(time_ms{5'000}, requests_per_s, baseline_failure_rate);
+                    for (int restarts = 0; restarts < 3; ++restarts) {
+                        fleet.restart_driver(time_ms{600}, noticed, requests_per_s);
+                        fleet.run(time_ms{2'400}, requests_per_s, baseline_failure_rate);
+                    }
+                    fleet.run(time_ms{2'000}, requests_per_s, baseline_failure_rate);
+                    CHECK(fleet.order.state != phase::active);
+                    CHECK(static_cast<double>(fleet.target_requests_in_time) <=
+                          0.1 * static_cast<double>(fleet.requests_in_time) + 50);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("version mover: the move to a good version is not completed in time because its driver restarts") {
+    for (const bool noticed : {true, false}) {
+        for (const double requests_per_s : {41.0, 150.0}) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                CAPTURE(noticed);
+                CAPTURE(requests_per_s);
+                CAPTURE(seed);
+                fleet_of_movers fleet(seed);
+                fleet.cold_time = time_ms{3'500};
+                fleet.caller_timeout_ms = 2'000;
+                fleet.run_before_order(time_ms{10'000}, requests_per_s);
+                fleet.run(time_ms{6'000}, requests_per_s, baseline_failure_rate);
+                for (int restarts = 0; restarts < 2; ++restarts) {
+                    fleet.restart_driver(time_ms{600}, noticed, requests_per_s);
+                    fleet.run(time_ms{2'400}, requests_per_s, baseline_failure_rate);
+                }
+                fleet.run(time_ms{4'000}, requests_per_s, baseline_failure_rate);
+                CHECK(fleet.order.state == phase::completed);
+            }
+        }
+    }
+}
