Let a VM that starts during a move learn from the others before it drives

Cause: what the fleet knows of a move (time since the order, requests sent since then, outcomes of processes that have ended, current share) lived in the process that drove it. A VM that starts and ranks first drove at once with a new clock and empty counts; only processes that go on kept the counts of dead ones. Class: the state of a duty ends with its holder.

Change: full reports carry what a VM knows of each running move. A process that finds a move already active takes this over for 1.5 s, from the VM that knows the move for longest, and drives only after that; meanwhile the VM that drives it goes on until it hears a driver that ranks before it. At the last decision, a version that the outcomes show to be good is completed also when the shortest time of its last stage is not over.

--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -68,6 +68,13 @@
 constexpr std::size_t min_baseline_answers = 20;
 // Without a newer announcement for this long, the announced share is cut to that of the first stage.
 constexpr time_ms announcement_lifetime{2000};
+// A VM that finds a running move learns from others for this long: a full report of each of them and some
+// margin.
+constexpr time_ms learning_time{1500};
+// Ages of a move that differ by no more than this are equal, but for the delay of reports.
+constexpr time_ms max_age_difference{500};
+// A VM that drives a move stops after a report of another driver, for twice the interval between regions.
+constexpr time_ms takeover_window{600};
 // Minimum time between two attempts to write the status of a move.
 constexpr time_ms write_retry_interval{700};
 
@@ -93,6 +100,19 @@
     return state == phase::ordered || state == phase::active;
 }
 
+std::uint64_t excess(std::uint64_t of, std::uint64_t over) {
+    return of > over ? of - over : 0;
+}
+
+// Counts that are larger in the first tally, by how much.
+version_tally excess(const version_tally& of, const version_tally& over) {
+    return {.sent = excess(of.sent, over.sent),
+            .answered = excess(of.answered, over.answered),
+            .failed = excess(of.failed, over.failed),
+            .timed = excess(of.timed, over.timed),
+            .slow = excess(of.slow, over.slow)};
+}
+
 } // namespace
 
 void version_mover::set_orders(time_ms now, const std::vector<version_move_order>& orders) {
@@ -112,14 +132,15 @@
             updated = found->second;
             if (order.revision < updated.order.revision) current = updated.order;
         } else {
-            updated.order_received_at = now;
+            updated.ordered_at = now;
+            if (current.state != phase::ordered) updated.learns_until = now + learning_time;
             updated.stage_started_at = now;
         }
         updated.order = current;
         if (!same_order) {
             const auto outcomes = outcomes_of(updated);
-            updated.sent_to_target_before = target_total(outcomes).sent;
-            updated.sent_before = sent_total(outcomes);
+            updated.sent_to_target_before = sent_to_target(updated, outcomes);
+            updated.sent_before = sent_since_order(updated, outcomes);
         }
         if (current.state == phase::completed) stable_versions_[order.service] = order.target_version;
         updated_moves[order.service] = updated;
@@ -282,9 +303,53 @@
         found->second.announced_share = announced_share;
         found->second.announced_share_at = now;
     }
+    for (const auto& known : report.moves) {
+        const auto found = moves_.find(known.service);
+        if (found != moves_.end() && found->second.order.created == known.created)
+            learn(now, found->second, known);
+    }
+}
+
+// Takes over what another VM knows of a move, unless this VM knows the move for longer.
+void version_mover::learn(time_ms now, move_state& move, const move_knowledge& known) const {
+    if (now >= move.learns_until || known.age + max_age_difference < now - move.ordered_at) return;
+    move.ordered_at = std::min(move.ordered_at, now - known.age);
+    const auto counted = counted_outcomes(move);
+    // Nobody announces the share while there is no driver.
+    if (now - move.announced_share_at > announcement_lifetime)
+        move.announced_share = std::clamp(known.share, 0.0, 1.0);
+    move.inherited.clear();
+    for (const auto& [route, target, others] : known.routes) {
+        const auto own = counted.find(route);
+        const auto tallies = own == counted.end() ? route_outcomes{} : own->second;
+        move.inherited[route] = {excess(target, tallies.target), excess(others, tallies.others)};
+    }
+    const auto outcomes = outcomes_of(move);
+    move.sent_to_target_before +=
+        sent_to_target(move, outcomes) - static_cast<std::int64_t>(known.sent_to_target);
+    move.sent_before += sent_since_order(move, outcomes) - static_cast<std::int64_t>(known.sent);
 }
 
 service_outcomes version_mover::outcomes_of(const move_state& move) const {
+    auto outcomes = counted_outcomes(move);
+    for (const auto& [route, inherited] : move.inherited) {
+        auto& entry = outcomes[route];
+        add(entry.target, inherited.target);
+        add(entry.others, inherited.others);
+    }
+    return outcomes;
+}
+
+std::int64_t version_mover::sent_to_target(const move_state& move, const service_outcomes& outcomes) {
+    return static_cast<std::int64_t>(target_total(outcomes).sent) - move.sent_to_target_before;
+}
+
+std::int64_t version_mover::sent_since_order(const move_state& move, const service_outcomes& outcomes) {
+    return static_cast<std::int64_t>(sent_total(outcomes)) - move.sent_before;
+}
+
+// Outcomes that this VM and the reports of others count.
+service_outcomes version_mover::counted_outcomes(const move_state& move) const {
     service_outcomes outcomes;
     const auto prefix = move.order.service + '/';
     const auto collect = [&](const std::map<std::string, version_tally>& tallies) {
@@ -313,13 +378,13 @@
 // What a move has sent, and what its service will still get at the same rate.
 version_mover::traffic version_mover::traffic_of(time_ms now, const move_state& move) const {
     const auto outcomes = outcomes_of(move);
-    const auto elapsed = static_cast<double>((now - move.order_received_at).count);
+    const auto elapsed = static_cast<double>((now - move.ordered_at).count);
     traffic seen;
-    seen.to_target = static_cast<double>(target_total(outcomes).sent - move.sent_to_target_before);
+    seen.to_target = static_cast<double>(sent_to_target(move, outcomes));
     if (elapsed <= 0) return seen;
     seen.duration_fraction =
         elapsed / static_cast<double>(std::max<std::int64_t>(1, move.order.duration.count));
-    seen.expected = static_cast<double>(sent_total(outcomes) - move.sent_before) / seen.duration_fraction;
+    seen.expected = static_cast<double>(sent_since_order(move, outcomes)) / seen.duration_fraction;
     seen.exposure_limit = exposure_share_ * seen.expected + exposure_slack_;
     return seen;
 }
@@ -368,6 +433,13 @@
     return further <= allowed ? planned : std::min(planned, allowed / further);
 }
 
+// Whether this VM drives the move now.
+bool version_mover::drives(time_ms now, const move_state& move, driver_rank rank) {
+    if (rank == driver_rank::none || now < move.learns_until) return false;
+    return rank == driver_rank::first ||
+           (move.driven_here && now - move.announced_share_at > takeover_window);
+}
+
 // Continues at the stage whose share the previous driver announced last.
 void version_mover::become_driver(time_ms now, move_state& move) {
     std::size_t stage = move.stage;
@@ -384,21 +456,26 @@
     move.outcomes_before_stage = outcomes_of(move);
 }
 
+// Whether the outcomes of the current stage alone suffice to leave it.
+bool version_mover::shown_in_stage(const move_state& move) const {
+    const auto outcomes = target_outcomes_since(move.outcomes_before_stage, outcomes_of(move));
+    return target_total(outcomes).answered >= stages[move.stage].min_answers &&
+           (move.stage == 0 || worst_llr(judge_version(outcomes)) <= stage_llr);
+}
+
 // Whether the target has shown enough in its stage to get the share of the next one.
 bool version_mover::stage_passed(time_ms now, const move_state& move, const version_judgement& total) const {
     const auto& stage = stages[move.stage];
     const auto duration = static_cast<double>(move.order.duration.count);
     const auto time_in_stage = static_cast<double>((now - move.stage_started_at).count);
-    const auto time_since_order = static_cast<double>((now - move.order_received_at).count);
+    const auto time_since_order = static_cast<double>((now - move.ordered_at).count);
     const bool good = total.verdict == version_verdict::good_enough;
-    const auto outcomes = target_outcomes_since(move.outcomes_before_stage, outcomes_of(move));
-    const auto in_stage = judge_version(outcomes);
-    const bool shown_in_stage = target_total(outcomes).answered >= stage.min_answers &&
-                                (move.stage == 0 || worst_llr(in_stage) <= stage_llr);
-    if (good && shown_in_stage && time_in_stage >= duration * stage.min_duration_fraction) return true;
+    if (good && shown_in_stage(move) && time_in_stage >= duration * stage.min_duration_fraction) return true;
     if (time_since_order < duration * stage.forced_end_fraction) return false;
     if (time_in_stage < duration * stage.min_duration_fraction / 2) return false;
-    if (target_total(outcomes).timed >= min_timed_to_lean && worst_llr(in_stage) > 0) return false;
+    const auto outcomes = target_outcomes_since(move.outcomes_before_stage, outcomes_of(move));
+    if (target_total(outcomes).timed >= min_timed_to_lean && worst_llr(judge_version(outcomes)) > 0)
+        return false;
     if (target_total(outcomes_of(move)).answered == 0) return false;
     if (good) return true;
     const bool last = move.stage + 1 == stages.size();
@@ -438,12 +515,13 @@
         }
         return;
     }
-    const auto time_since_order = static_cast<double>((now - move.order_received_at).count);
+    const auto time_since_order = static_cast<double>((now - move.ordered_at).count);
     if (time_since_order < static_cast<double>(move.order.duration.count) * decision_fraction) return;
     const bool little_traffic = target_total(outcomes_of(move)).timed < min_timed_to_lean;
     const bool favoured = leans_good(judgement) || (little_traffic && !leans_bad(judgement));
     const bool seen_under_load = move.stage + 1 == stages.size();
-    if (favoured && seen_under_load && exposure_allows(traffic_of(now, move), 1, 1, last_exposure_margin)) {
+    const bool allowed = favoured && exposure_allows(traffic_of(now, move), 1, 1, last_exposure_margin);
+    if (seen_under_load && (allowed || (good && shown_in_stage(move)))) {
         request_state(phase::completed, "time is up: " + describe(move, judgement));
     } else {
         move.judged_bad = true;
@@ -470,17 +548,37 @@
     return texts;
 }
 
-void version_mover::fill(vm_report& report) const {
+void version_mover::fill(time_ms now, vm_report& report, bool full) const {
     for (const auto& [service, move] : moves_) {
-        if (!is_running(move.order.state) || !move.driven_here) continue;
-        const bool sends = !move.judged_bad && move.order.state == phase::active;
-        report.move_shares.emplace_back(service, sends ? move.share : 0);
+        if (!is_running(move.order.state)) continue;
+        if (move.driven_here) {
+            const bool sends = !move.judged_bad && move.order.state == phase::active;
+            report.move_shares.emplace_back(service, sends ? move.share : 0);
+        }
+        if (full && now >= move.learns_until) report.moves.push_back(knowledge_of(now, move));
     }
     if (!has_running_move()) return;
     for (const auto& [key, tally] : own_tallies_)
         report.outcomes.emplace_back(key, tally);
 }
 
+move_knowledge version_mover::knowledge_of(time_ms now, const move_state& move) const {
+    const auto outcomes = outcomes_of(move);
+    const auto count = [](std::int64_t value) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value));
+    };
+    move_knowledge known;
+    known.service = move.order.service;
+    known.created = move.order.created;
+    known.age = now - move.ordered_at;
+    known.share = move.driven_here ? move.share : move.announced_share;
+    known.sent_to_target = count(sent_to_target(move, outcomes));
+    known.sent = count(sent_since_order(move, outcomes));
+    for (const auto& [route, tallies] : outcomes)
+        known.routes.push_back({route, tallies.target, tallies.others});
+    return known;
+}
+
 bool version_mover::has_running_move() const {
     return std::any_of(moves_.begin(), moves_.end(),
                        [](const auto& entry) { return is_running(entry.second.order.state); });
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -7,6 +7,7 @@
 #include "state/service_model.h"
 #include "state/time_ms.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -24,6 +25,15 @@
     std::string reason;
 };
 
+/// @brief Whether a VM may drive a move.
+enum class driver_rank : std::uint8_t {
+    /// It must not, because it cannot write to the store.
+    none,
+    /// Another VM comes before it, but it goes on with a move that it drives until that VM takes over.
+    stand_by,
+    first,
+};
+
 /// @brief Request to one version of a service that has been sent to an endpoint.
 struct sent_request {
     const std::string& service;
@@ -50,6 +60,9 @@
 /// target version bad from the outcomes of the whole fleet stops sending to it on its own, so a bad version
 /// stays at a small share also while the store or the driver is unavailable.
 ///
+/// The process of any VM may end during a move. A process that finds a running move learns from the others
+/// how long it has run and what the fleet has sent and seen, and drives it only after that.
+///
 /// The target's share grows only while the requests that a bad version could still get stay within the limit
 /// on its exposure, or on evidence that it is good. A target that cannot be judged in time is reverted.
 class version_mover {
@@ -86,13 +99,13 @@
     void on_abandoned(const sent_request& request, double waited_ms);
 
     /// @brief Advances the moves that this VM drives.
-    /// @param is_driver Predicate on a service name: whether this VM drives the service's move.
+    /// @param rank_of Function of a service name: this VM's driver_rank for the service's move.
     /// @return Status changes to write to the store; they take effect here through set_orders().
-    template <class Predicate>
-    std::vector<move_write> advance(time_ms now, const Predicate& is_driver) {
+    template <class Function>
+    std::vector<move_write> advance(time_ms now, const Function& rank_of) {
         std::vector<move_write> writes;
         for (auto& [service, move] : moves_) {
-            const bool drives_move = is_driver(service);
+            const bool drives_move = drives(now, move, rank_of(service));
             count_matured(now);
             if (drives_move && !move.driven_here) become_driver(now, move);
             move.driven_here = drives_move;
@@ -108,15 +121,18 @@
     /// @brief The state of each move that this VM drives, as text for logs.
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> evidence(time_ms now) const;
     /// @brief Adds the announced shares and the counted outcomes to the report of this VM.
-    void fill(vm_report& report) const;
+    /// @param full Include what this VM knows of running moves from all VMs.
+    void fill(time_ms now, vm_report& report, bool full) const;
     /// @brief Whether a move is ordered or active.
     [[nodiscard]] bool has_running_move() const;
 
 private:
     struct move_state {
         version_move_order order;
-        /// When this VM first received the order.
-        time_ms order_received_at{0};
+        /// When the order came, as far as this VM and those that it has learned from know.
+        time_ms ordered_at{0};
+        /// Until this time this VM learns what the others know of the move.
+        time_ms learns_until{0};
         std::size_t stage = 0;
         time_ms stage_started_at{0};
         bool driven_here = false;
@@ -134,9 +150,12 @@
         /// Outcomes at the start of the stage, by route. The outcomes of a stage are also compared on their
         /// own, so that good answers of earlier stages do not hide faults that appear later.
         service_outcomes outcomes_before_stage;
-        /// Requests to the target, and to all versions, that were counted before the order.
-        std::uint64_t sent_to_target_before = 0;
-        std::uint64_t sent_before = 0;
+        /// Requests to the target, and to all versions, that are counted here but were sent before the order;
+        /// negative if fewer than were sent since then are counted, because processes have ended.
+        std::int64_t sent_to_target_before = 0;
+        std::int64_t sent_before = 0;
+        /// Outcomes that only the VMs know from which this one has learned.
+        service_outcomes inherited;
         time_ms last_write_at{-10'000};
     };
     /// Requests to a service during a move.
@@ -166,16 +185,25 @@
     };
     void count_slow(const sent_request& request);
     void count_matured(time_ms now);
+    [[nodiscard]] static bool drives(time_ms now, const move_state& move, driver_rank rank);
+    [[nodiscard]] move_knowledge knowledge_of(time_ms now, const move_state& move) const;
+    void learn(time_ms now, move_state& move, const move_knowledge& known) const;
     void become_driver(time_ms now, move_state& move);
     void enter_stage(time_ms now, move_state& move, std::size_t stage);
     void advance_move(time_ms now, move_state& move, std::vector<move_write>& writes);
+    [[nodiscard]] service_outcomes counted_outcomes(const move_state& move) const;
     [[nodiscard]] service_outcomes outcomes_of(const move_state& move) const;
+    [[nodiscard]] static std::int64_t sent_to_target(const move_state& move,
+                                                     const service_outcomes& outcomes);
+    [[nodiscard]] static std::int64_t sent_since_order(const move_state& move,
+                                                       const service_outcomes& outcomes);
     [[nodiscard]] version_judgement judge(const move_state& move) const;
     [[nodiscard]] traffic traffic_of(time_ms now, const move_state& move) const;
     [[nodiscard]] static bool exposure_allows(const traffic& seen, double share, double until, double margin);
     [[nodiscard]] double first_stage_share(const move_state& move, const traffic& seen) const;
     [[nodiscard]] double current_share(time_ms now, const move_state& move, bool good) const;
     [[nodiscard]] bool stage_worries(const move_state& move) const;
+    [[nodiscard]] bool shown_in_stage(const move_state& move) const;
     [[nodiscard]] bool stage_passed(time_ms now, const move_state& move,
                                     const version_judgement& total) const;
     [[nodiscard]] std::string describe(const move_state& move, const version_judgement& judgement) const;
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -24,6 +24,29 @@
     std::uint64_t timed = 0;
     /// Those of them that took longer than is usual for the route, answered or not.
     std::uint64_t slow = 0;
+    friend bool operator==(const version_tally&, const version_tally&) = default;
+};
+
+/// @brief What a VM knows of a running version move from all VMs. Processes that have started since the order
+/// learn it from the others.
+struct move_knowledge {
+    /// Outcomes on one route.
+    struct route_tallies {
+        std::string route;
+        version_tally target;
+        version_tally others;
+    };
+    std::string service;
+    /// Store revision at which the order was created.
+    std::uint64_t created = 0;
+    /// Time since the order.
+    time_ms age{0};
+    /// Share of the target version that the driver announced last, 0 to 1.
+    double share = 0;
+    /// Requests since the order, to the target version and to all versions.
+    std::uint64_t sent_to_target = 0;
+    std::uint64_t sent = 0;
+    std::vector<route_tallies> routes;
 };
 
 /// @brief Receivers of a report; VMs of other regions get reports less often.
@@ -103,6 +126,8 @@
     /// Share (0 to 1) of a service's requests that goes to the target version of a move, set by the VM that
     /// drives the move.
     std::vector<std::pair<std::string, double>> move_shares;
+    /// Running moves; only in full reports.
+    std::vector<move_knowledge> moves;
 };
 
 /// @brief Hashes the name of an endpoint or object to the 24-bit tag that stands for it in reports. When two
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -384,7 +384,7 @@
     registry_.fill(monotonic_now(), made, audience, full);
     if (audience == report_audience::same_region) selector_.shift_limiter().fill(made);
     made.usage = limiter_.usage(full);
-    moves_.fill(made);
+    moves_.fill(now, made, full);
     return made;
 }
 
@@ -437,7 +437,10 @@
         if (now < next_report) continue;
         next_report = now + report_interval;
         const auto writes = moves_.advance(now, [&](const std::string& service) {
-            return fleet_.owns_writes(service, now, mirror_.is_reachable(now));
+            const bool store_reached = mirror_.is_reachable(now);
+            if (!store_reached) return driver_rank::none;
+            return fleet_.owns_writes(service, now, store_reached) ? driver_rank::first
+                                                                   : driver_rank::stand_by;
         });
         for (const auto& write : writes)
             asio::co_spawn(context_, write_move(write), asio::detached);
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -24,8 +24,8 @@
 // lists of loads and of objects are one string of base-36 numbers each. A JSON value for each number would
 // take twice the bytes and most of the processor time of receiving a report.
 constexpr int number_base = 36;
-// An older answer is taken for one of this age.
-constexpr std::uint64_t max_answer_age_ms = 3'600'000;
+// An answer, or a move, that is older counts as one of this age.
+constexpr std::uint64_t max_age_ms = 3'600'000;
 
 void append_number(std::string& out, std::uint64_t value) {
     // 64 bits have at most 13 digits in base 36.
@@ -72,21 +72,73 @@
     return list;
 }
 
+// Numbers of a tally in a list.
+constexpr Json::ArrayIndex tally_size = 5;
+
+void append_tally(Json::Value& list, const version_tally& tally) {
+    for (const auto count : {tally.answered, tally.failed, tally.slow, tally.timed, tally.sent})
+        list.append(Json::UInt64(count));
+}
+
+version_tally tally_at(const Json::Value& list, Json::ArrayIndex begin) {
+    return {.sent = list[begin + 4].asUInt64(),
+            .answered = list[begin].asUInt64(),
+            .failed = list[begin + 1].asUInt64(),
+            .timed = list[begin + 3].asUInt64(),
+            .slow = list[begin + 2].asUInt64()};
+}
+
 Json::Value encode_outcomes(const vm_report& report) {
     Json::Value list(Json::arrayValue);
     for (const auto& [key, tally] : report.outcomes) {
         Json::Value item(Json::arrayValue);
         item.append(key);
-        item.append(Json::UInt64(tally.answered));
-        item.append(Json::UInt64(tally.failed));
-        item.append(Json::UInt64(tally.slow));
-        item.append(Json::UInt64(tally.timed));
-        item.append(Json::UInt64(tally.sent));
+        append_tally(item, tally);
+        list.append(std::move(item));
+    }
+    return list;
+}
+
+// Lists: service, created, age, share, sent to the target, sent, and for each route its name and two tallies.
+Json::Value encode_moves(const vm_report& report) {
+    Json::Value list(Json::arrayValue);
+    for (const auto& move : report.moves) {
+        Json::Value item(Json::arrayValue);
+        item.append(move.service);
+        item.append(Json::UInt64(move.created));
+        item.append(Json::UInt64(static_cast<std::uint64_t>(std::max<std::int64_t>(0, move.age.count))));
+        item.append(move.share);
+        item.append(Json::UInt64(move.sent_to_target));
+        item.append(Json::UInt64(move.sent));
+        for (const auto& tallies : move.routes) {
+            item.append(tallies.route);
+            append_tally(item, tallies.target);
+            append_tally(item, tallies.others);
+        }
         list.append(std::move(item));
     }
     return list;
 }
 
+void decode_moves(const Json::Value& params, vm_report& report) {
+    constexpr Json::ArrayIndex first_route = 6;
+    constexpr Json::ArrayIndex route_size = 1 + 2 * tally_size;
+    for (const auto& item : params["moves"]) {
+        move_knowledge move;
+        move.service = item[0].asString();
+        move.created = item[1].asUInt64();
+        move.age = {static_cast<std::int64_t>(std::min<std::uint64_t>(item[2].asUInt64(), max_age_ms))};
+        move.share = item[3].asDouble();
+        move.sent_to_target = item[4].asUInt64();
+        move.sent = item[5].asUInt64();
+        for (auto at = first_route; at + route_size <= item.size(); at += route_size) {
+            move.routes.push_back(
+                {item[at].asString(), tally_at(item, at + 1), tally_at(item, at + 1 + tally_size)});
+        }
+        report.moves.push_back(std::move(move));
+    }
+}
+
 // Requests in flight by endpoint tag: "tag count tag count".
 std::string encode_loads(const vm_report& report) {
     std::string out;
@@ -154,7 +206,7 @@
         endpoint_limit_report limit;
         limit.endpoint = static_cast<std::uint32_t>(consume_number(text, ' '));
         const auto answer = consume_number(text, ' ');
-        const auto age = std::min(consume_number(text, ' '), max_answer_age_ms);
+        const auto age = std::min(consume_number(text, ' '), max_age_ms);
         if (answer > 0) limit.answer = {std::nullopt, time_ms{static_cast<std::int64_t>(age)}};
         if (answer > 1) limit.answer->per_s = static_cast<double>(answer - 2) / 1000;
         limit.usage.asked = consume_total(text, ' ');
@@ -225,6 +277,7 @@
     if (!report.usage.empty()) params["use"] = encode_usage(report);
     if (!report.limits.empty()) params["lim"] = encode_limits(report);
     if (!report.outcomes.empty()) params["out"] = encode_outcomes(report);
+    if (!report.moves.empty()) params["moves"] = encode_moves(report);
     for (const auto& [service, share] : report.move_shares)
         params["move"][service] = share;
     return build_notification(report_method, params);
@@ -263,13 +316,9 @@
         decode_region_sends(params, report);
         decode_usage(params, report);
         decode_limits(params, report);
-        for (const auto& item : params["out"]) {
-            report.outcomes.emplace_back(item[0].asString(), version_tally{.sent = item[5].asUInt64(),
-                                                                           .answered = item[1].asUInt64(),
-                                                                           .failed = item[2].asUInt64(),
-                                                                           .timed = item[4].asUInt64(),
-                                                                           .slow = item[3].asUInt64()});
-        }
+        for (const auto& item : params["out"])
+            report.outcomes.emplace_back(item[0].asString(), tally_at(item, 1));
+        decode_moves(params, report);
         const auto& shares = params["move"];
         for (const auto& service : shares.getMemberNames()) {
             report.move_shares.emplace_back(service, shares[service].asDouble());
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -31,6 +31,11 @@
     report.limits = {
         {7, {{2.125, time_ms{40}}}, {3, 2}}, {8, {{std::nullopt, time_ms{0}}}, {}}, {9, {}, {1, 0}}};
     report.move_shares = {{"s", 0.15}};
+    const version_tally target{.sent = 5, .answered = 4, .failed = 3, .timed = 2, .slow = 1};
+    const version_tally others{.sent = 10, .answered = 9, .failed = 8, .timed = 7, .slow = 6};
+    report.moves = {
+        {"s", 1'000'000'000'000, time_ms{1'500}, 0.4, 12, 345, {{"r", target, others}, {"q", {}, {}}}},
+        {"t", 2, time_ms{0}, 0, 0, 0, {}}};
     const auto decoded = decode_report(encode_report(report));
     CHECK(decoded.vm == report.vm);
     CHECK(decoded.incarnation == report.incarnation);
@@ -61,6 +66,19 @@
     CHECK_FALSE(decoded.limits[2].answer);
     CHECK(decoded.limits[2].usage.asked == 1);
     CHECK(decoded.move_shares == report.move_shares);
+    REQUIRE(decoded.moves.size() == 2);
+    CHECK(decoded.moves[0].service == "s");
+    CHECK(decoded.moves[0].created == 1'000'000'000'000);
+    CHECK(decoded.moves[0].age == time_ms{1'500});
+    CHECK(decoded.moves[0].share == 0.4);
+    CHECK(decoded.moves[0].sent_to_target == 12);
+    CHECK(decoded.moves[0].sent == 345);
+    REQUIRE(decoded.moves[0].routes.size() == 2);
+    CHECK(decoded.moves[0].routes[0].route == "r");
+    CHECK(decoded.moves[0].routes[0].target == target);
+    CHECK(decoded.moves[0].routes[0].others == others);
+    CHECK(decoded.moves[0].routes[1].route == "q");
+    CHECK(decoded.moves[1].routes.empty());
     report.has_identity = false;
     CHECK_FALSE(decode_report(encode_report(report)).has_identity);
 }
--- a/tests/version_mover_test.cpp
+++ b/tests/version_mover_test.cpp
@@ -106,13 +106,15 @@
             if (now.count % 100 != 0) continue;
             for (std::size_t i = 0; i < movers.size(); ++i) {
                 if (i == stopped) continue;
-                const auto writes = movers[i].advance(now, [&](const std::string&) { return i == driver; });
+                const auto writes = movers[i].advance(now, [&](const std::string&) {
+                    return i == driver ? driver_rank::first : driver_rank::stand_by;
+                });
                 for (const auto& write : writes)
                     store(write.order.state);
                 vm_report report;
                 report.vm = {"vm-" + std::to_string(i)};
                 report.incarnation = incarnation_id{100 * i + incarnations[i]};
-                movers[i].fill(report);
+                movers[i].fill(now, report, now.count % 1000 == 0);
                 for (std::size_t receiver = 0; receiver < movers.size(); ++receiver) {
                     if (receiver != i && receiver != stopped) movers[receiver].on_report(now, report);
                 }
