--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -8,7 +8,11 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <atomic>
+#include <chrono>
 #include <csignal>
+#include <thread>
+#include <vector>
 
 using namespace lacewing;
 using namespace lacewing::testing;
@@ -79,6 +83,72 @@
     CHECK(wait_until([&] { return in_force(platform, 2, "new"); }, stability));
 }
 
+// A VM starts with an empty copy, and its first list, its watches and the reports of the others arrive in any
+// order.
+TEST_CASE("platform trouble: a change in the first second of a process is late or comes back older") {
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key-1"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    for (int version = 2; version <= 12; ++version) {
+        CAPTURE(version);
+        platform.vm_process(0).signal(SIGKILL);
+        platform.start_vm(0);
+        // Changes fall into every part of the first second.
+        const auto change_at = monotonic_now() + time_ms{100 * (version - 2)};
+        REQUIRE(wait_until([&] { return monotonic_now() >= change_at; }));
+        const auto key = fmt::format("key-{}", version);
+        const auto old_key = fmt::format("key-{}", version - 1);
+        platform.put_object("config", "main", platform_stand_in::configuration(version, key));
+        CHECK(wait_until([&] { return in_force(platform, 2, key); }, apply_bound));
+        for (int i = 0; i < 20; ++i) {
+            for (std::size_t vm = 0; vm < 2; ++vm)
+                CHECK(status_with_key(platform, vm, old_key) == 401);
+        }
+    }
+}
+
+// The processes get a fifth of a core in slices, as by a processor quota, and are busy with requests.
+TEST_CASE("platform trouble: a configuration is late because the processor allowance is used up") {
+    constexpr std::size_t vms = 3;
+    constexpr std::size_t callers_per_vm = 6;
+    platform_stand_in platform(vms);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key-1"));
+    platform.add_endpoint("e-1", "s");
+    platform.add_endpoint("e-2", "s");
+    REQUIRE(platform.wait_all_ready());
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> threads;
+    threads.emplace_back([&] {
+        bool running = true;
+        while (!stop) {
+            running = !running;
+            for (std::size_t vm = 0; vm < vms; ++vm)
+                platform.vm_process(vm).signal(running ? SIGCONT : SIGSTOP);
+            std::this_thread::sleep_for(std::chrono::milliseconds(running ? 20 : 80));
+        }
+        for (std::size_t vm = 0; vm < vms; ++vm)
+            platform.vm_process(vm).signal(SIGCONT);
+    });
+    for (std::size_t i = 0; i < vms * callers_per_vm; ++i) {
+        threads.emplace_back([&, i] {
+            while (!stop)
+                status_with_key(platform, i % vms, "no-such-key");
+        });
+    }
+    for (int version = 2; version <= 6; ++version) {
+        CAPTURE(version);
+        const auto key = fmt::format("key-{}", version);
+        platform.put_object("config", "main", platform_stand_in::configuration(version, key));
+        CHECK(wait_until([&] { return in_force(platform, vms, key); }, apply_bound));
+        REQUIRE(wait_until([&] { return in_force(platform, vms, key); }));
+        CHECK(status_with_key(platform, 0, fmt::format("key-{}", version - 1)) == 401);
+    }
+    stop = true;
+    for (auto& thread : threads)
+        thread.join();
+}
+
 TEST_CASE("platform trouble: an odd entry of another writer ends the VMs or hides the other entries") {
     platform_stand_in platform(2);
     platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
