--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -95,7 +95,7 @@
         platform.vm_process(0).signal(SIGKILL);
         platform.start_vm(0);
         // Changes fall into every part of the first second.
-        const auto change_at = monotonic_now() + time_ms{100 * (version - 2)};
+        const auto change_at = monotonic_now() + time_ms{version - 2} * 100;
         REQUIRE(wait_until([&] { return monotonic_now() >= change_at; }));
         const auto key = fmt::format("key-{}", version);
         const auto old_key = fmt::format("key-{}", version - 1);
