Do not take requests with cold objects that exceed the deadline for failures

Endpoints of a new version have handled few objects, so such requests come from them more often. Latencies were compared with the cold service time for this reason, deadlines were not.

Change: a request with a cold object whose deadline has passed counts as one whose caller left: as slow if it had waited for longer than usual, else not at all. Without an object, or with a warm one, it is a failure as before, so that a version that leaves requests without an answer is found.

--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -56,9 +56,9 @@
 constexpr double slow_factor = 1.8;
 // Smallest baseline, relative to the cold service time: the old version may have nearly all objects cached.
 constexpr double min_relative_baseline = 1.1;
-// In place of slow_factor for a request whose caller left. It is lower, because the time waited until then is
+// In place of slow_factor for an unfinished request. It is lower, because the time waited until then is
 // only a lower bound of the latency.
-constexpr double abandoned_factor = 1.2;
+constexpr double unfinished_factor = 1.2;
 constexpr double baseline_quantile = 0.95;
 // Answers of the old version from which the quantile is taken.
 constexpr std::size_t baseline_answers = 64;
@@ -254,8 +254,14 @@
     count_slow(request);
 }
 
-void version_mover::on_outcome(time_ms now, const sent_request& request, bool failed,
+void version_mover::on_outcome(time_ms now, const sent_request& request, request_outcome outcome,
                                std::optional<answer_timing> timing) {
+    if (outcome == request_outcome::caller_left ||
+        (outcome == request_outcome::deadline_passed && request.cold_object)) {
+        if (timing) on_unfinished(request, timing->latency_ms);
+        return;
+    }
+    const bool failed = outcome != request_outcome::answered;
     const auto found = moves_.find(request.service);
     const bool is_target = found != moves_.end() && request.version == found->second.order.target_version;
     const auto limit = slow_latency_ms(request);
@@ -277,11 +283,11 @@
     }
 }
 
-void version_mover::on_abandoned(const sent_request& request, double waited_ms) {
+void version_mover::on_unfinished(const sent_request& request, double waited_ms) {
     const auto found = moves_.find(request.service);
     if (found == moves_.end() || found->second.order.state == phase::completed) return;
     const auto limit = slow_latency_ms(request);
-    if (!limit || waited_ms * slow_factor <= *limit * abandoned_factor) return;
+    if (!limit || waited_ms * slow_factor <= *limit * unfinished_factor) return;
     count_slow(request);
 }
 
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -42,11 +42,22 @@
     /// Usual service time of such a request when its object is cold; 0 if unknown. Latencies are compared
     /// relative to it, because endpoints of a new version have handled few objects.
     double cold_ms = 0;
+    /// The endpoint has not handled the object of the request lately. False if the request has no object.
+    bool cold_object = false;
+};
+
+enum class request_outcome : std::uint8_t {
+    answered,
+    failed,
+    /// There was no answer before the deadline.
+    deadline_passed,
+    caller_left,
 };
 
 /// @brief How long an answer took.
 struct answer_timing {
-    /// Time until the answer without the expected wait for a slot and the network round trip.
+    /// Time until the answer, or the end of the wait for it, without the expected wait for a slot and the
+    /// network round trip.
     double latency_ms = 0;
     /// A wait for a slot was expected.
     bool queued = false;
@@ -89,14 +100,12 @@
     void on_sent(const sent_request& request);
     /// @brief Records a request that has reached its slow_limit() without an answer.
     void on_overdue(const sent_request& request);
-    /// @brief Records the outcome of a request.
+    /// @brief Records the outcome of a request. One that is unfinished counts as slow if it had already
+    /// waited longer than usual, and is ignored otherwise.
     /// @param timing Nothing when the endpoint is cold, because the latency then says little about the
     /// version, or when on_overdue() has counted the request.
-    void on_outcome(time_ms now, const sent_request& request, bool failed,
+    void on_outcome(time_ms now, const sent_request& request, request_outcome outcome,
                     std::optional<answer_timing> timing);
-    /// @brief Records a request whose caller left before the answer; counted as slow if it had already waited
-    /// longer than usual, otherwise ignored.
-    void on_abandoned(const sent_request& request, double waited_ms);
 
     /// @brief Advances the moves that this VM drives.
     /// @param rank_of Function of a service name: this VM's driver_rank for the service's move.
@@ -184,6 +193,7 @@
         [[nodiscard]] std::optional<double> p95() const;
     };
     void count_slow(const sent_request& request);
+    void on_unfinished(const sent_request& request, double waited_ms);
     void count_matured(time_ms now);
     [[nodiscard]] static bool drives(time_ms now, const move_state& move, driver_rank rank);
     [[nodiscard]] move_knowledge knowledge_of(time_ms now, const move_state& move) const;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -389,16 +389,19 @@
     // Neither the wait for a slot nor the latency of a cold endpoint says anything about the version.
     const bool cold = monotonic_now() < endpoint.cold_until;
     const bool timed = !cold && !overdue;
-    const sent_request sent{context.service_name, version, route, choice.cold_ms};
+    const sent_request sent{context.service_name, version, route, choice.cold_ms,
+                            context.object_tag != 0 && !choice.warm};
     const answer_timing timing{static_cast<double>((duration - choice.wait - choice.round_trip).count),
                                choice.wait > time_ms{0}};
-    if (result.outcome == attempt_end::abandoned && context.request->caller_left) {
-        if (timed) moves_.on_abandoned(sent, timing.latency_ms);
-        return;
-    }
     if (result.outcome == attempt_end::not_run || result.outcome == attempt_end::unreachable) return;
-    moves_.on_outcome(monotonic_now(), sent, result.outcome != attempt_end::answered,
-                      timed ? std::optional(timing) : std::nullopt);
+    auto outcome = request_outcome::failed;
+    if (result.outcome == attempt_end::answered) {
+        outcome = request_outcome::answered;
+    } else if (result.outcome == attempt_end::abandoned) {
+        outcome =
+            context.request->caller_left ? request_outcome::caller_left : request_outcome::deadline_passed;
+    }
+    moves_.on_outcome(monotonic_now(), sent, outcome, timed ? std::optional(timing) : std::nullopt);
 }
 
 attempt_message request_flow::make_attempt_message(const request_context& context,
