Tell the other VMs that an endpoint leaves

An endpoint that says that it leaves was left alone by the VM that heard it. Each other VM sent it one request more at least, and a VM whose list is late goes on until it hears it itself.

Change: reports carry the endpoint processes that have said so to the VM, as a hash of id and start, so that the next process under the same id is not bound. Decision 0010 has what was weighed. The simulation of endpoints plays words of endpoints beside restarts, freezes, cuts and lost reports.

--- a/src/coordination/endpoint_notice.h
+++ b/src/coordination/endpoint_notice.h
@@ -21,9 +21,16 @@
 /// It is kept with the process: a registration that is out of date does not end it, a new process does.
 class endpoint_notice {
 public:
-    /// @brief Records that the endpoint leaves.
+    /// @brief Records an answer to this VM that says that the endpoint leaves.
     /// @return Whether this was not known before.
-    bool on_leaving();
+    bool on_leaving(time_ms now);
+    /// @brief Records that the endpoint has said to another VM that it leaves.
+    /// @return Whether this was not known before.
+    bool on_reported_leaving();
+    /// @brief Whether this VM tells the others that the endpoint leaves; only those do that have an answer
+    /// which says so.
+    /// @param full The report is a full one.
+    [[nodiscard]] bool reports_leaving(time_ms now, bool full) const;
     /// @brief Records that the endpoint wants no requests for a time. An earlier pause is never shortened.
     void on_pause(time_ms now, time_ms pause);
 
@@ -37,6 +44,8 @@
 
 private:
     bool leaving_ = false;
+    // Time of the first answer to this VM that said so.
+    std::optional<time_ms> heard_leaving_at_;
     time_ms paused_until_{0};
 };
 
--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -25,6 +25,9 @@
     std::erase_if(list, [&endpoint](const auto& item) { return item.get() == &endpoint; });
     const auto by_tag_entry = by_tag_.find(endpoint.tag);
     if (by_tag_entry != by_tag_.end() && by_tag_entry->second.get() == &endpoint) by_tag_.erase(by_tag_entry);
+    const auto by_process_entry = by_process_.find(endpoint.process);
+    if (by_process_entry != by_process_.end() && by_process_entry->second.get() == &endpoint)
+        by_process_.erase(by_process_entry);
 }
 
 void endpoint_registry::put(time_ms now, const endpoint_registration& registration) {
@@ -47,6 +50,7 @@
     entry = std::make_shared<endpoint_state>();
     entry->registration = registration;
     entry->tag = hash_tag(registration.id.value);
+    entry->process = hash_process(registration.id.value, registration.started_unix_ms);
     const auto region = zone_regions_.find(registration.zone.value);
     entry->region = region == zone_regions_.end() ? "" : region->second;
     entry->region_tag = hash_tag(entry->region);
@@ -64,6 +68,7 @@
     }
     by_service_[registration.service].push_back(entry);
     by_tag_[entry->tag] = entry;
+    by_process_[entry->process] = entry;
 }
 
 void endpoint_registry::remove(time_ms now, const std::string& id, bool after_outage) {
@@ -152,6 +157,7 @@
             limit->endpoint = state->tag;
             report.limits.push_back(*limit);
         }
+        if (state->notice.reports_leaving(now, full)) report.leaving_endpoints.push_back(state->process);
     }
 }
 
@@ -187,6 +193,11 @@
         if (found->second->limit.on_report(now, limit) && on_limit_change)
             on_limit_change(now, *found->second, before, vm);
     }
+    for (const auto process : report.leaving_endpoints) {
+        const auto found = by_process_.find(process);
+        if (found != by_process_.end() && found->second->notice.on_reported_leaving() && on_reported_leaving)
+            on_reported_leaving(*found->second, vm);
+    }
     for (const auto& [tag, objects] : report.objects) {
         const auto found = by_tag_.find(tag);
         if (found == by_tag_.end()) continue;
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -45,6 +45,8 @@
     endpoint_registration registration;
     /// Tag of the id in the reports of VMs.
     std::uint32_t tag = 0;
+    /// Hash of the process in the reports of VMs.
+    std::uint64_t process = 0;
     /// Objects that this VM has sent since its last report, by audience of the report.
     std::array<std::vector<std::uint32_t>, report_audiences> unreported_objects;
     std::string region;
@@ -134,17 +136,19 @@
     /// @brief Number of endpoints with a limit in force.
     [[nodiscard]] std::size_t limited_endpoint_count() const;
 
-    /// @brief Adds the requests of this VM in flight, the objects that it has sent and the limits of
-    /// endpoints to its report.
+    /// @brief Adds the requests of this VM in flight, the objects that it has sent and what endpoints have
+    /// said to its report.
     /// @param full Include limits that have not changed lately.
     void fill(time_ms now, vm_report& report, report_audience audience, bool full) const;
     /// @brief Clears the objects, and the uses of limits, that have been reported to an audience.
     void clear_unreported(report_audience audience);
     /// @brief Replaces the requests in flight that a VM reported before, adds the objects that it has sent,
-    /// and records what it knows of limits.
+    /// and records what it knows of limits and of endpoints that leave.
     void on_report(time_ms now, const std::string& vm, const vm_report& report);
     /// @brief Records the limit that an answer of an endpoint names, or that it names none.
     void on_limit(time_ms now, endpoint_state& endpoint, std::optional<double> per_s);
+    /// @brief Called when another VM has reported that an endpoint leaves, with the name of that VM.
+    std::function<void(const endpoint_state& endpoint, std::string_view source)> on_reported_leaving;
     /// @brief Called when the limit of an endpoint has changed, with the period before and the VM that got
     /// the answer; empty for this VM.
     std::function<void(time_ms now, const endpoint_state& endpoint, const endpoint_limit::period& before,
@@ -159,6 +163,7 @@
     std::unordered_map<std::string, std::shared_ptr<endpoint_state>> by_id_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<endpoint_state>>> by_service_;
     std::unordered_map<std::uint32_t, std::shared_ptr<endpoint_state>> by_tag_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<endpoint_state>> by_process_;
     // Last reported requests in flight by VM, as pairs of endpoint tag and count.
     std::map<std::string, std::vector<std::pair<std::uint32_t, int>>> reported_in_flight_;
     std::set<std::string> drained_zones_;
--- a/src/coordination/vm_report.cpp
+++ b/src/coordination/vm_report.cpp
@@ -12,4 +12,9 @@
     return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size())) & mask;
 }
 
+std::uint64_t hash_process(std::string_view endpoint, std::int64_t started_unix_ms) {
+    return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(),
+                                static_cast<std::uint64_t>(started_unix_ms));
+}
+
 } // namespace lacewing
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -121,6 +121,8 @@
     std::vector<std::pair<std::string, rate_usage>> usage;
     /// Limited endpoints that the VM has used lately or knows most of.
     std::vector<endpoint_limit_report> limits;
+    /// Endpoint processes that have said to this VM that they leave, by hash_process().
+    std::vector<std::uint64_t> leaving_endpoints;
     /// Outcomes by "service/version/route" while a version move is under way.
     std::vector<std::pair<std::string, version_tally>> outcomes;
     /// Share (0 to 1) of a service's requests that goes to the target version of a move, set by the VM that
@@ -135,4 +137,9 @@
 /// of an endpoint less exact.
 std::uint32_t hash_tag(std::string_view name);
 
+/// @brief Hashes one process of an endpoint; another process under the same id has another hash. With 64
+/// bits, no two of a fleet are expected to share one.
+/// @param started_unix_ms Start of the process; 0 if unknown.
+std::uint64_t hash_process(std::string_view endpoint, std::int64_t started_unix_ms);
+
 } // namespace lacewing
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,6 +127,10 @@
           }) {
     selector_.owns_cold_endpoint = [this](const std::string& id) { return fleet_.owns(id, monotonic_now()); };
     registry_.on_limit_change = log_limit_change;
+    registry_.on_reported_leaving = [](const endpoint_state& endpoint, std::string_view vm) {
+        log(log_level::info, "endpoint_leaving",
+            {{"endpoint", endpoint.registration.id.value}, {"from_vm", vm}});
+    };
     // Until the fleet is known, two VMs per zone are assumed, so that this VM takes no excessive part of the
     // slack of the repeat budget.
     repeats_.set_fleet(settings.zone_regions.size() * 2);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -346,7 +346,7 @@
     const auto& id = endpoint.registration.id.value;
     const auto leaving = view(answer.fields[dialect_.leaving]);
     if (leaving == "1") {
-        if (endpoint.notice.on_leaving())
+        if (endpoint.notice.on_leaving(monotonic_now()))
             log(log_level::info, "endpoint_leaving", {{"endpoint", id}, {"request", context.attempt_id}});
     } else if (!leaving.empty()) {
         log(log_level::warn, "endpoint_leaving_rejected", {{"endpoint", id}, {"value", leaving}});
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -200,6 +200,22 @@
     return out;
 }
 
+// Hashes of endpoint processes: "hash hash".
+std::string encode_leaving_endpoints(const vm_report& report) {
+    std::string out;
+    for (const auto hash : report.leaving_endpoints) {
+        if (!out.empty()) out += ' ';
+        append_number(out, hash);
+    }
+    return out;
+}
+
+void decode_leaving_endpoints(const Json::Value& params, vm_report& report) {
+    auto text = string_view_of(params["bye"]);
+    while (!text.empty())
+        report.leaving_endpoints.push_back(consume_number(text, ' '));
+}
+
 void decode_limits(const Json::Value& params, vm_report& report) {
     auto text = string_view_of(params["lim"]);
     while (!text.empty()) {
@@ -276,6 +292,7 @@
     if (!report.region_sends.empty()) params["sent"] = encode_region_sends(report);
     if (!report.usage.empty()) params["use"] = encode_usage(report);
     if (!report.limits.empty()) params["lim"] = encode_limits(report);
+    if (!report.leaving_endpoints.empty()) params["bye"] = encode_leaving_endpoints(report);
     if (!report.outcomes.empty()) params["out"] = encode_outcomes(report);
     if (!report.moves.empty()) params["moves"] = encode_moves(report);
     for (const auto& [service, share] : report.move_shares)
@@ -316,6 +333,7 @@
         decode_region_sends(params, report);
         decode_usage(params, report);
         decode_limits(params, report);
+        decode_leaving_endpoints(params, report);
         for (const auto& item : params["out"])
             report.outcomes.emplace_back(item[0].asString(), tally_at(item, 1));
         decode_moves(params, report);
--- a/tests/endpoint_fleet.h
+++ b/tests/endpoint_fleet.h
@@ -8,12 +8,14 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lacewing::testing {
@@ -47,6 +49,7 @@
         std::uint64_t incarnation = 0;
         bool warm = false;
         std::uint32_t object = 0;
+        std::shared_ptr<endpoint_state> endpoint;
     };
     struct server {
         std::vector<job> running;
@@ -58,6 +61,13 @@
         std::optional<double> limit;
         /// Requests that have been sent to the endpoint.
         std::vector<time_ms> sent;
+        /// Number of the process, and of its registration.
+        std::int64_t started = 1;
+        std::uint64_t revision = 1;
+        /// Its answers say that it leaves.
+        bool leaving = false;
+        /// Until this time it refuses requests and asks for a pause up to then.
+        time_ms pause_end{0};
     };
     struct vm {
         vm(std::size_t home, const std::unordered_map<std::string, std::string>& zones, double max_shift,
@@ -71,7 +81,11 @@
         std::uint64_t incarnation;
         /// The process does not run: it gets no callers, sends no reports and reads none.
         bool paused = false;
+        /// No reports reach the VM or leave it.
+        bool cut_off = false;
     };
+    /// What an answer has told a VM of an endpoint.
+    enum class word : std::uint8_t { leaving, pause };
 
     explicit endpoint_fleet(const layout& sizes)
         : random(sizes.seed), max_shift(sizes.max_shift), common_choices(sizes.common_choices) {
@@ -123,13 +137,53 @@
         made.zone = {"z" + std::to_string(servers[e].region)};
         made.version = "v1";
         made.slots = slots;
-        made.revision = e + 1;
+        made.revision = servers[e].revision;
+        made.started_unix_ms = servers[e].started;
         target.registry.put(now, made);
     }
 
+    /// Ends the process of an endpoint, and its requests, and starts another under the same id and address.
+    void restart_server(std::size_t e) {
+        auto& ended = servers[e];
+        for (const auto& done : ended.running)
+            fail(done);
+        for (const auto& done : ended.waiting)
+            fail(done);
+        const auto started = ended.started + 1;
+        const auto revision = ended.revision + 1;
+        const auto region = ended.region;
+        ended = server();
+        ended.started = started;
+        ended.revision = revision;
+        ended.region = region;
+        for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+            if (vm == lagging) {
+                late_registrations.emplace(now + registration_lag, std::pair(vm, e));
+            } else {
+                register_server(*vms[vm], e);
+            }
+        }
+    }
+
+    void register_late() {
+        while (!late_registrations.empty() && late_registrations.begin()->first <= now) {
+            const auto [vm, e] = late_registrations.begin()->second;
+            late_registrations.erase(late_registrations.begin());
+            register_server(*vms[vm], e);
+        }
+    }
+
+    void fail(const job& done) {
+        auto& sender = *vms[done.vm];
+        if (sender.incarnation != done.incarnation) return;
+        sender.selector.on_end(now, *done.endpoint, request_for(done.object), done.started, done.warm,
+                               attempt_end::unreachable, nullptr);
+    }
+
     void run(time_ms span, double per_s_and_region) {
         const auto end = now + span;
         for (; now < end; now += time_ms{1}) {
+            register_late();
             for (std::size_t region = 0; region < regions; ++region) {
                 if (std::bernoulli_distribution(per_s_and_region / 1000)(random)) arrive(region);
             }
@@ -170,9 +224,10 @@
             return;
         }
         if (on_sent) on_sent(region, servers[e].region);
+        if (on_request) on_request(index, e);
         servers[e].sent.push_back(now);
         servers[e].waiting.push_back(
-            {now, now, now + delay, {}, index, sender.incarnation, choice.warm, object});
+            {now, now, now + delay, {}, index, sender.incarnation, choice.warm, object, choice.endpoint});
     }
 
     void advance(server& current) {
@@ -189,14 +244,31 @@
                current.waiting.front().arrives <= now) {
             auto next = current.waiting.front();
             current.waiting.pop_front();
+            if (now < current.pause_end) {
+                refuse(current, next);
+                continue;
+            }
             next.finish = now + (current.warm.has(next.object) ? warm_time : cold_time);
             current.warm.add(next.object);
             current.running.push_back(next);
         }
     }
 
+    void refuse(const server& from, const job& refused) {
+        auto& sender = *vms[refused.vm];
+        if (sender.incarnation != refused.incarnation) return;
+        refused.endpoint->notice.on_pause(now, from.pause_end - now);
+        sender.selector.on_end(now, *refused.endpoint, request_for(refused.object), refused.started,
+                               refused.warm, attempt_end::not_run, nullptr);
+        if (on_word) on_word(refused.vm, static_cast<std::size_t>(&from - servers.data()), word::pause);
+    }
+
     void answer(vm& sender, const server& from, const job& done) {
-        auto& endpoint = *sender.registry.find(std::to_string(&from - servers.data()));
+        auto& endpoint = *done.endpoint;
+        if (from.leaving) {
+            endpoint.notice.on_leaving(now);
+            if (on_word) on_word(done.vm, static_cast<std::size_t>(&from - servers.data()), word::leaving);
+        }
         sender.registry.on_limit(now, endpoint, from.limit);
         sender.selector.on_end(now, endpoint, request_for(done.object), done.started, done.warm,
                                attempt_end::answered, nullptr);
@@ -206,13 +278,14 @@
 
     void report() {
         for (std::size_t from = 0; from < vms.size(); ++from) {
-            if (vms[from]->paused) continue;
+            if (vms[from]->paused || vms[from]->cut_off) continue;
             const auto near_report = make_report(from, report_audience::same_region);
             std::optional<vm_report> far_report;
             if (now.count % 300 == 0) far_report = make_report(from, report_audience::other_regions);
             for (std::size_t to = 0; to < vms.size(); ++to) {
                 const bool same_region = vms[to]->region == vms[from]->region;
-                if (to == from || vms[to]->paused || (!same_region && !far_report)) continue;
+                if (to == from || vms[to]->paused || vms[to]->cut_off) continue;
+                if (!same_region && !far_report) continue;
                 if (report_loss > 0 && std::bernoulli_distribution(report_loss)(random)) continue;
                 deliver(*vms[to], same_region ? near_report : *far_report, same_region);
             }
@@ -239,6 +312,10 @@
     std::mt19937_64 random;
     double max_shift;
     bool common_choices;
+    /// VM that learns late of endpoints that have started again.
+    std::optional<std::size_t> lagging;
+    static constexpr time_ms registration_lag{1'500};
+    std::multimap<time_ms, std::pair<std::size_t, std::size_t>> late_registrations;
     /// Share of the reports that are lost.
     double report_loss = 0;
     host_route route;
@@ -248,6 +325,10 @@
     std::vector<server> servers;
     /// Called for each request with the region of its VM and that of its endpoint.
     std::function<void(std::size_t from, std::size_t to)> on_sent;
+    /// Called for each request with the numbers of its VM and its endpoint.
+    std::function<void(std::size_t vm, std::size_t server)> on_request;
+    /// Called when an answer has told a VM that its endpoint leaves or wants a pause.
+    std::function<void(std::size_t vm, std::size_t server, word said)> on_word;
     std::size_t asked = 0;
     std::size_t answered = 0;
     std::size_t in_goal = 0;
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -30,6 +30,7 @@
     report.outcomes = {{"s/v/r", {.sent = 12, .answered = 10, .failed = 2, .timed = 9, .slow = 1}}};
     report.limits = {
         {7, {{2.125, time_ms{40}}}, {3, 2}}, {8, {{std::nullopt, time_ms{0}}}, {}}, {9, {}, {1, 0}}};
+    report.leaving_endpoints = {0, 0xffffffffffffffffULL, 36};
     report.move_shares = {{"s", 0.15}};
     const version_tally target{.sent = 5, .answered = 4, .failed = 3, .timed = 2, .slow = 1};
     const version_tally others{.sent = 10, .answered = 9, .failed = 8, .timed = 7, .slow = 6};
@@ -65,6 +66,7 @@
     CHECK_FALSE(decoded.limits[1].answer->per_s);
     CHECK_FALSE(decoded.limits[2].answer);
     CHECK(decoded.limits[2].usage.asked == 1);
+    CHECK(decoded.leaving_endpoints == report.leaving_endpoints);
     CHECK(decoded.move_shares == report.move_shares);
     REQUIRE(decoded.moves.size() == 2);
     CHECK(decoded.moves[0].service == "s");
--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -261,6 +261,26 @@
     }
 }
 
+// Guards against requests of VMs that have not heard themselves that an endpoint leaves.
+TEST_CASE("platform trouble: an endpoint that leaves gets requests from a VM that it has not told") {
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    platform.add_endpoint("e-1", "s");
+    platform.add_endpoint("e-2", "s");
+    REQUIRE(platform.wait_all_ready());
+    platform.set_word("e-1", {"1", ""});
+    REQUIRE(wait_until([&] {
+        status_with_key(platform, 0, "key");
+        return platform.arrival_count("e-1") > 0;
+    }));
+    const auto told = monotonic_now();
+    REQUIRE(wait_until([&] { return monotonic_now() >= told + apply_bound; }));
+    const auto before = platform.arrival_count("e-1");
+    for (int i = 0; i < 30; ++i)
+        CHECK(status_with_key(platform, 1, "key") == 200);
+    CHECK(platform.arrival_count("e-1") == before);
+}
+
 TEST_CASE("platform trouble: an endpoint that asks for a pause gets requests before its end") {
     platform_stand_in platform(1);
     platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
