Keep an endpoint that vanished only until a lapsed one would be back

The endpoint left at 18.77 s; the VM saw it at 18.96 s, within 2.5 s of its own outage, took it for a registration that had lapsed, and kept it for 1.9 s from then on, up to 20.86 s. A request was sent to it at 20.81 s. What lapses in an outage is back within two seconds of its end, so the time must be counted from there.

Change: a vanished endpoint is kept until 1.9 s after the VM has regained the store, and one that vanishes later is removed at once. The log line tells for how long it is kept. endpoint_registry::replace_all had no caller and is gone.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -71,11 +71,11 @@
     by_process_[entry->process] = entry;
 }
 
-void endpoint_registry::remove(time_ms now, const std::string& id, bool after_outage) {
+void endpoint_registry::remove(time_ms now, const std::string& id, std::optional<time_ms> return_by) {
     const auto found = by_id_.find(id);
     if (found == by_id_.end()) return;
-    if (after_outage && !found->second->registration.draining) {
-        if (!found->second->expires) found->second->expires = now + outage_grace;
+    if (return_by && now < *return_by && !found->second->registration.draining) {
+        if (!found->second->expires) found->second->expires = return_by;
         return;
     }
     const auto& endpoint = *found->second;
@@ -85,28 +85,13 @@
     by_id_.erase(found);
 }
 
-void endpoint_registry::replace_all(time_ms now, std::span<const endpoint_registration> all,
-                                    bool after_outage) {
-    std::unordered_set<std::string> listed;
-    for (const auto& registration : all) {
-        listed.insert(registration.id.value);
-        put(now, registration);
-    }
-    std::vector<std::string> missing;
-    for (const auto& [id, state] : by_id_) {
-        if (!listed.contains(id)) missing.push_back(id);
-    }
-    for (const auto& id : missing)
-        remove(now, id, after_outage);
-}
-
 void endpoint_registry::expire(time_ms now) {
     std::vector<std::string> ended;
     for (const auto& [id, state] : by_id_) {
         if (state->expires && now >= *state->expires) ended.push_back(id);
     }
     for (const auto& id : ended)
-        remove(now, id, false);
+        remove(now, id);
     std::erase_if(removed_,
                   [now](const auto& entry) { return now - entry.second.removed > removed_word_time; });
 }
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -94,9 +94,6 @@
 /// @brief All endpoints by service, built from the registrations in the store.
 class endpoint_registry {
 public:
-    /// An endpoint whose registration vanished around a store outage is kept for this long: a live endpoint
-    /// registers again within two seconds, and one that has left must not get requests for longer.
-    static constexpr time_ms outage_grace{1900};
     /// Added to the remaining warm-up time that an endpoint registers, for the delay of the registration.
     static constexpr time_ms cold_margin{500};
     /// What a removed endpoint has said is kept for this long, in case the same process registers again.
@@ -109,13 +106,10 @@
     /// starts again under the same id replaces the state of its predecessor.
     void put(time_ms now, const endpoint_registration& registration);
     /// @brief Removes an endpoint.
-    /// @param after_outage The registration may have vanished only because of a store outage, so an endpoint
-    /// that is not draining is kept for outage_grace.
-    void remove(time_ms now, const std::string& id, bool after_outage);
-    /// @brief Replaces all registrations.
-    /// @param after_outage As for remove(), for endpoints that are not listed.
-    void replace_all(time_ms now, std::span<const endpoint_registration> all, bool after_outage);
-    /// @brief Removes endpoints whose outage grace has ended.
+    /// @param return_by Set when the registration may have vanished only because of a store outage: an
+    /// endpoint that is not draining is kept until this time.
+    void remove(time_ms now, const std::string& id, std::optional<time_ms> return_by = {});
+    /// @brief Removes endpoints that have not registered again in time after a store outage.
     void expire(time_ms now);
 
     /// @brief Sets the zones that get no requests. Endpoints of a zone that is no longer drained count as
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -230,8 +230,10 @@
     const auto now = monotonic_now();
     const auto& objects = mirror_.objects(change.kind);
     for (const auto& id : change.removed) {
-        registry_.remove(now, id, change.after_outage);
-        log(log_level::info, "endpoint_removed", {{"endpoint", id}, {"after_outage", change.after_outage}});
+        registry_.remove(now, id, change.lapsed_return_by);
+        log(log_level::info, "endpoint_removed",
+            {{"endpoint", id},
+             {"kept_ms", change.lapsed_return_by ? (*change.lapsed_return_by - now).count : 0}});
     }
     for (const auto& id : change.changed) {
         try {
@@ -246,11 +248,11 @@
                  {"warmup_ms", made.warmup_left.count},
                  {"revision", made.revision}});
         } catch (const config_error& problem) {
-            registry_.remove(now, id, false);
+            registry_.remove(now, id);
             log(log_level::warn, "endpoint_rejected",
                 {{"endpoint", id}, {"field", problem.field()}, {"reason", problem.reason()}});
         } catch (const Json::Exception& problem) {
-            registry_.remove(now, id, false);
+            registry_.remove(now, id);
             log(log_level::warn, "endpoint_rejected", {{"endpoint", id}, {"reason", problem.what()}});
         }
     }
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -34,8 +34,10 @@
 constexpr time_ms reachable_window{4000};
 // No registration lapses in a shorter outage.
 constexpr time_ms min_lapsing_outage{1500};
-// Objects that are removed this soon after an outage may have lapsed because of it.
-constexpr time_ms lapse_window{2500};
+// A live endpoint whose registration has lapsed in an outage registers again within about two seconds of the
+// store's return, which is noticed here a little later. One that has left must not get requests for two
+// seconds.
+constexpr time_ms reregistration_time{1900};
 
 } // namespace
 
@@ -121,7 +123,8 @@
 }
 
 void store_mirror::publish(const std::string& kind, object_changes changes) {
-    on_change_({kind, std::move(changes.changed), std::move(changes.removed), after_outage(monotonic_now())});
+    on_change_(
+        {kind, std::move(changes.changed), std::move(changes.removed), lapsed_return_by(monotonic_now())});
 }
 
 void store_mirror::on_success(time_ms now) {
@@ -140,8 +143,9 @@
     log(log_level::warn, "store_lost", {{"kind", kind}, {"reason", reason}});
 }
 
-bool store_mirror::after_outage(time_ms now) const {
-    return now - recovered_at_ < lapse_window;
+std::optional<time_ms> store_mirror::lapsed_return_by(time_ms now) const {
+    const auto end = recovered_at_ + reregistration_time;
+    return now < end ? std::optional(end) : std::nullopt;
 }
 
 const std::map<std::string, Json::Value>& store_mirror::objects(const std::string& kind) const {
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -26,9 +26,9 @@
     std::string kind;
     std::vector<std::string> changed;
     std::vector<std::string> removed;
-    /// The store was unavailable until just now, so registrations may have lapsed only because they could not
-    /// be renewed.
-    bool after_outage = false;
+    /// Set when the store was unavailable until lately: removed registrations may have lapsed only because
+    /// they could not be renewed, and then are back by this time.
+    std::optional<time_ms> lapsed_return_by;
 };
 
 /// @brief Kind of objects to mirror.
@@ -84,7 +84,7 @@
     void publish(const std::string& kind, object_changes changes);
     void on_success(time_ms now);
     void on_failure(time_ms now, const std::string& kind, const std::string& reason);
-    [[nodiscard]] bool after_outage(time_ms now) const;
+    [[nodiscard]] std::optional<time_ms> lapsed_return_by(time_ms now) const;
 
     boost::asio::io_context& context_;
     platform::object_store& store_;
--- a/tests/endpoint_choice_test.cpp
+++ b/tests/endpoint_choice_test.cpp
@@ -83,11 +83,13 @@
     endpoint_registry registry(zone_regions);
     registry.put(time_ms{0}, registration("e", "a1"));
     registry.put(time_ms{0}, registration("left", "a1"));
-    registry.remove(time_ms{100}, "e", true);
-    registry.remove(time_ms{100}, "left", true);
+    registry.remove(time_ms{100}, "e", time_ms{2000});
+    registry.remove(time_ms{100}, "left", time_ms{2000});
     CHECK(registry.endpoints_of_service("s").size() == 2);
     registry.put(time_ms{1000}, registration("e", "a1", 9));
-    registry.expire(time_ms{100} + endpoint_registry::outage_grace);
+    registry.expire(time_ms{1999});
+    CHECK(registry.endpoints_of_service("s").size() == 2);
+    registry.expire(time_ms{2000});
     CHECK(registry.endpoints_of_service("s").size() == 1);
     CHECK(registry.find("left") == nullptr);
 }
@@ -97,8 +99,22 @@
     auto draining = registration("e", "a1");
     draining.draining = true;
     registry.put(time_ms{0}, draining);
-    registry.remove(time_ms{1}, "e", true);
+    registry.remove(time_ms{1}, "e", time_ms{2000});
+    CHECK(registry.find("e") == nullptr);
+}
+
+// Guards against issue 25: an endpoint that left some time after an outage was kept for as long as one that
+// had lapsed in it, counted from the news, and got a request later than it may.
+TEST_CASE(
+    "endpoint registry: an endpoint that leaves after an outage is kept for longer than one that lapsed") {
+    endpoint_registry registry(zone_regions);
+    registry.put(time_ms{0}, registration("e", "a1"));
+    registry.put(time_ms{0}, registration("f", "a1"));
+    registry.remove(time_ms{1900}, "e", time_ms{2000});
+    registry.expire(time_ms{2000});
     CHECK(registry.find("e") == nullptr);
+    registry.remove(time_ms{2000}, "f", time_ms{2000});
+    CHECK(registry.find("f") == nullptr);
 }
 
 TEST_CASE("endpoint registry: repeated reports of a VM add up") {
--- a/tests/endpoint_limit_test.cpp
+++ b/tests/endpoint_limit_test.cpp
@@ -236,11 +236,11 @@
     registered.started_unix_ms = 1;
     registry.put(time_ms{0}, registered);
     registry.on_limit(time_ms{10}, *registry.find("e"), 2.5);
-    registry.remove(time_ms{20}, "e", false);
+    registry.remove(time_ms{20}, "e");
     registered.revision = 2;
     registry.put(time_ms{2000}, registered);
     CHECK(registry.find("e")->limit.per_s() == 2.5);
-    registry.remove(time_ms{2100}, "e", false);
+    registry.remove(time_ms{2100}, "e");
     registered.revision = 3;
     registered.started_unix_ms = 2;
     registry.put(time_ms{2200}, registered);
--- a/tests/endpoint_notice_test.cpp
+++ b/tests/endpoint_notice_test.cpp
@@ -215,7 +215,7 @@
     f.registry.put(time_ms{10}, registration("e", 1, 2));
     CHECK(f.choose(time_ms{10}).endpoint == nullptr);
     // The registration lapses and comes back with the same process.
-    f.registry.remove(time_ms{20}, "e", false);
+    f.registry.remove(time_ms{20}, "e");
     f.registry.put(time_ms{30}, registration("e", 1, 3));
     CHECK(f.choose(time_ms{30}).endpoint == nullptr);
     // A new process at the same address, under the same id.
