Keep the sums of the outcomes that other VMs report

Judging a move added up the counts of all VMs about seven times every 100 ms at the driver, twice at each other VM, and the reports of knowledge added one more a second: work that grows with the fleet.

Change: the sums are updated when a report arrives.

--- a/src/coordination/version_judge.cpp
+++ b/src/coordination/version_judge.cpp
@@ -136,4 +136,12 @@
     to.slow += from.slow;
 }
 
+void subtract(version_tally& from, const version_tally& added) {
+    from.sent -= added.sent;
+    from.answered -= added.answered;
+    from.failed -= added.failed;
+    from.timed -= added.timed;
+    from.slow -= added.slow;
+}
+
 } // namespace lacewing
--- a/src/coordination/version_judge.h
+++ b/src/coordination/version_judge.h
@@ -45,5 +45,7 @@
 
 /// @brief Adds counts.
 void add(version_tally& to, const version_tally& from);
+/// @brief Subtracts counts that were added before.
+void subtract(version_tally& from, const version_tally& added);
 
 } // namespace lacewing
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -236,6 +236,8 @@
     std::multimap<time_ms, std::string> maturing_;
     // Outcomes that other VMs reported; key: VM/incarnation, then as in own_tallies_.
     std::map<std::string, std::map<std::string, version_tally>> peer_tallies_;
+    // Sums of peer_tallies_ over the VMs, so that judging a move costs the same in a large fleet.
+    std::map<std::string, version_tally> peer_totals_;
 };
 
 } // namespace lacewing
