--- a/src/coordination/endpoint_notice.h
+++ b/src/coordination/endpoint_notice.h
@@ -16,7 +16,8 @@
 /// date.
 std::optional<time_ms> parse_endpoint_pause(std::string_view text);
 
-/// @brief What one endpoint process has said in its answers about further requests of this VM.
+/// @brief What one endpoint process has said in its answers about further requests: that it leaves, to any
+/// VM, or that it wants a pause, to this VM.
 ///
 /// It is kept with the process: a registration that is out of date does not end it, a new process does.
 class endpoint_notice {
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -132,7 +132,7 @@
 
     /// @brief Adds the requests of this VM in flight, the objects that it has sent and what endpoints have
     /// said to its report.
-    /// @param full Include limits that have not changed lately.
+    /// @param full Include limits that have not changed lately, and all endpoints that leave.
     void fill(time_ms now, vm_report& report, report_audience audience, bool full) const;
     /// @brief Clears the objects, and the uses of limits, that have been reported to an audience.
     void clear_unreported(report_audience audience);
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -56,7 +56,7 @@
 constexpr double slow_factor = 1.8;
 // Smallest baseline, relative to the cold service time: the old version may have nearly all objects cached.
 constexpr double min_relative_baseline = 1.1;
-// In place of slow_factor for an unfinished request. It is lower, because the time waited until then is
+// In place of slow_factor for a request without an answer. It is lower, because the time waited until then is
 // only a lower bound of the latency.
 constexpr double unfinished_factor = 1.2;
 constexpr double baseline_quantile = 0.95;
--- a/src/coordination/version_mover.h
+++ b/src/coordination/version_mover.h
@@ -46,6 +46,7 @@
     bool cold_object = false;
 };
 
+/// @brief How a request to an endpoint ended.
 enum class request_outcome : std::uint8_t {
     answered,
     failed,
@@ -100,8 +101,9 @@
     void on_sent(const sent_request& request);
     /// @brief Records a request that has reached its slow_limit() without an answer.
     void on_overdue(const sent_request& request);
-    /// @brief Records the outcome of a request. One that is unfinished counts as slow if it had already
-    /// waited longer than usual, and is ignored otherwise.
+    /// @brief Records the outcome of a request. One whose caller left counts as slow if it had already waited
+    /// longer than usual, and is ignored otherwise. The same holds for one with a cold object whose deadline
+    /// has passed, because endpoints of a new version have handled few objects.
     /// @param timing Nothing when the endpoint is cold, because the latency then says little about the
     /// version, or when on_overdue() has counted the request.
     void on_outcome(time_ms now, const sent_request& request, request_outcome outcome,
