--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -124,7 +124,8 @@
           },
           [this](caller_request& request, answer_sink sink) {
               return flow_.handle(request, std::move(sink));
-          }) {
+          }),
+      catch_up_(seed) {
     selector_.owns_cold_endpoint = [this](const std::string& id) { return fleet_.owns(id, monotonic_now()); };
     registry_.on_limit_change = log_limit_change;
     registry_.on_reported_leaving = [](const endpoint_state& endpoint, std::string_view vm) {
@@ -136,8 +137,12 @@
     repeats_.set_fleet(settings.zone_regions.size() * 2);
     peers_ = std::make_unique<peer_exchange>(
         context_, settings.peer_listen, [this](const vm_report& report) { on_report(report); },
-        [this](const std::string& kind) {
-            return mirror_.complete_revision(kind) ? mirror_.snapshot(kind) : "{}";
+        [this](const std::string& kind) -> std::optional<std::string> {
+            if (!mirror_.complete_revision(kind) || !snapshot_budget_.may_send(monotonic_now()))
+                return std::nullopt;
+            auto text = mirror_.snapshot(kind);
+            snapshot_budget_.on_sent(text.size());
+            return text;
         });
     callers_.listen(
         settings.caller_listen,
@@ -362,7 +367,7 @@
 
 asio::awaitable<void> gateway::fetch_snapshot(std::string address, std::string kind) {
     const auto text = co_await peers_->fetch_snapshot(address, kind);
-    catch_up_.finished(kind);
+    catch_up_.finished(monotonic_now(), kind);
     if (text.empty()) co_return;
     try {
         if (mirror_.apply_snapshot(kind, text)) {
@@ -462,6 +467,7 @@
         fleet_.remove_silent(now);
         pool_.close_expired(now);
         mirror_.set_live_vms(fleet_.alive_vm_count(now));
+        catch_up_.set_live_vms(fleet_.alive_vm_count(now));
         const auto known = fleet_.known_vm_count();
         limiter_.set_fleet(known, fleet_.alive_vm_count(now), fleet_.in_majority(now));
         if (known > 1) repeats_.set_fleet(known);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -88,6 +88,7 @@
     std::unique_ptr<http_server> lookup_server_;
     std::unique_ptr<http_server> metrics_server_;
     catch_up catch_up_;
+    snapshot_budget snapshot_budget_;
     // Peer addresses that were sent a report because of their registration in the store.
     std::set<std::string> contacted_peers_;
     // When this VM last learned of a change of the stored objects.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -32,7 +32,9 @@
                              std::move(snapshots)](http_request request) -> asio::awaitable<http_response> {
         const std::string target(request.target());
         if (!target.starts_with(snapshot_path)) co_return make_response(404, "{}");
-        co_return make_response(200, source(target.substr(snapshot_path.size())));
+        auto text = source(target.substr(snapshot_path.size()));
+        if (!text) co_return make_response(503, "{}");
+        co_return make_response(200, std::move(*text));
     };
     server_ = std::make_unique<http_server>(context.get_executor(), address, http_limits{}, answer);
     asio::co_spawn(context_, receive(), asio::detached);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,8 +22,9 @@
 class peer_exchange {
 public:
     using report_handler = std::function<void(const vm_report&)>;
-    /// Returns the snapshot of one kind of stored objects as JSON text.
-    using snapshot_source = std::function<std::string(const std::string& kind)>;
+    /// Returns the snapshot of one kind of stored objects as JSON text; nothing when this VM has none to send
+    /// now.
+    using snapshot_source = std::function<std::optional<std::string>(const std::string& kind)>;
 
     /// @param address ip:port to bind for both UDP and HTTP.
     /// @throws boost::system::system_error when the address cannot be bound.
