--- a/review/stand_ins/case_setup.h
+++ b/review/stand_ins/case_setup.h
@@ -2,6 +2,7 @@
 
 #include "platform.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,11 +15,14 @@
 /// @brief Whether the case runs with its disruption; TROUBLE=0 in the environment leaves it out.
 bool disrupted();
 
-/// @brief A small deployment with the settings of the site kvmau-dues: a store, machines and one config.
+/// @brief Site of the users' pages whose bounds a case takes.
+enum class site : std::uint8_t { kvmau_dues, kvmau_dues_large };
+
+/// @brief A small deployment with the bounds of a site: a store, machines and one config.
 class case_setup {
 public:
     /// @param record_path Path of record.txt.
-    explicit case_setup(const std::string& record_path);
+    explicit case_setup(const std::string& record_path, site bounds_of = site::kvmau_dues);
     ~case_setup() = default;
     case_setup(const case_setup&) = delete;
     case_setup& operator=(const case_setup&) = delete;
--- a/review/stand_ins/platform.cpp
+++ b/review/stand_ins/platform.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -167,11 +168,11 @@
                           std::chrono::system_clock::now().time_since_epoch())
                           .count();
     for (int sequence = 1;; ++sequence) {
-        registry.put("servers", id_,
-                     "{\"service\":\"" + service + "\",\"address\":\"" + listener_->address() +
-                         "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\"," +
-                         "\"warmupLeft\":\"0ms\",\"born\":" + std::to_string(born) +
-                         ",\"sequence\":" + std::to_string(sequence) + "}");
+        std::ostringstream spec;
+        spec << R"({"service":")" << service << R"(","address":")" << listener_->address() << R"(","zone":")"
+             << zone << R"(","version":"v1","slots":4,"state":"ready","warmupLeft":"0ms","born":)" << born
+             << R"(,"sequence":)" << sequence << "}";
+        registry.put("servers", id_, spec.str());
         sleep_ms(heartbeat_ms);
     }
 }
@@ -228,14 +229,14 @@
 void machine::start(bool first_start) {
     const auto file = folder_ + "/" + name_ + ".yaml";
     std::string region;
-    std::string zones;
+    std::ostringstream zones;
     for (const auto& [zone, its_region] : site_.zone_regions) {
         if (zone == zone_) region = its_region;
-        zones += "  - { zone: \"" + zone + "\", region: \"" + its_region + "\" }\n";
+        zones << "  - { zone: \"" << zone << "\", region: \"" << its_region << "\" }\n";
     }
     std::ofstream out(file);
     out << "vm: \"" << name_ << "\"\nzone: \"" << zone_ << "\"\nregion: \"" << region << "\"\nzones:\n"
-        << zones << "caller_listen: \"" << frontend() << "\"\nready_listen: \"" << readiness()
+        << zones.str() << "caller_listen: \"" << frontend() << "\"\nready_listen: \"" << readiness()
         << "\"\nlookup_listen: \"" << directory() << "\"\npeer_listen: \"" << control()
         << "\"\nmetrics_listen: \"" << ip_ << ":" << ports_[4] << "\"\nplatform_store: \"" << store_address_
         << "\"\nseeds: [";
