--- a/review/stand_ins/platform.cpp
+++ b/review/stand_ins/platform.cpp
@@ -270,6 +270,15 @@
     return process_ < 0;
 }
 
+std::int64_t machine::memory_kb() const {
+    std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmRSS:")) return std::stoll(line.substr(6));
+    }
+    return 0;
+}
+
 bool machine::ready() const {
     const auto peer = connection::open(readiness());
     peer->send("GET /-/ready HTTP/1.1\r\nHost: platform\r\n\r\n");
--- a/review/stand_ins/platform.h
+++ b/review/stand_ins/platform.h
@@ -123,6 +123,8 @@
     /// @brief Whether the process has ended; reaps it.
     bool ended();
     [[nodiscard]] bool ready() const;
+    /// @brief Resident memory of the process; 0 when there is none.
+    [[nodiscard]] std::int64_t memory_kb() const;
     [[nodiscard]] std::string frontend() const { return ip_ + ":" + std::to_string(ports_[0]); }
     [[nodiscard]] std::string readiness() const { return ip_ + ":" + std::to_string(ports_[1]); }
     [[nodiscard]] std::string control() const { return ip_ + ":" + std::to_string(ports_[2]); }
