--- a/review/stand_ins/case_endless_chunk.cpp
+++ b/review/stand_ins/case_endless_chunk.cpp
@@ -62,6 +62,7 @@
         return answer;
     };
     std::vector<const upstream*> payments;
+    payments.reserve(4);
     for (int i = 0; i < 4; ++i) {
         payments.push_back(
             &setup.add_upstream("i-payment-" + std::to_string(i), "payment-svc", "bagmati-lalitpur", decide));
