--- a/review/stand_ins/case_setup.cpp
+++ b/review/stand_ins/case_setup.cpp
@@ -120,9 +120,9 @@
 }
 
 upstream& case_setup::add_upstream(const std::string& id, const std::string& service, const std::string& zone,
-                                   upstream::behaviour decide) {
-    upstreams.push_back(
-        std::make_unique<upstream>(platform, record, loopback_ip(0), id, service, zone, std::move(decide)));
+                                   upstream::behaviour decide, const std::string& version) {
+    upstreams.push_back(std::make_unique<upstream>(platform, record, loopback_ip(0), id, service, zone,
+                                                   std::move(decide), version));
     return *upstreams.back();
 }
 
--- a/review/stand_ins/case_setup.h
+++ b/review/stand_ins/case_setup.h
@@ -33,7 +33,7 @@
     machine& add_machine(const std::string& zone);
     /// @brief Adds an upstream that takes work_ms for each request.
     upstream& add_upstream(const std::string& id, const std::string& service, const std::string& zone,
-                           upstream::behaviour decide);
+                           upstream::behaviour decide, const std::string& version = "v1");
     /// @brief Waits until all machines are ready and have found each other.
     bool wait_ready();
     /// @brief Records the verdict, ends all processes that the case has started, and exits.
--- a/review/stand_ins/platform.cpp
+++ b/review/stand_ins/platform.cpp
@@ -81,6 +81,12 @@
     objects_[kind].erase(name);
 }
 
+std::string store::status(const std::string& kind, const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    const auto found = objects_[kind].find(name);
+    return found == objects_[kind].end() ? std::string() : found->second.status;
+}
+
 std::string store::list(const std::string& kind) {
     const std::lock_guard lock(mutex_);
     std::string items;
@@ -155,28 +161,51 @@
 }
 
 upstream::upstream(store& registry, recorder& record, const std::string& ip, std::string id,
-                   std::string service, std::string zone, behaviour decide)
-    : record_(record), id_(std::move(id)), decide_(std::move(decide)) {
+                   std::string service, std::string zone, behaviour decide, std::string version)
+    : registry_(registry), record_(record), id_(std::move(id)), service_(std::move(service)),
+      zone_(std::move(zone)), version_(std::move(version)),
+      born_(std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count()),
+      decide_(std::move(decide)) {
     listener_ = std::make_unique<listener>(ip + ":0", [this](connection& peer) { serve(peer); });
-    std::thread([this, &registry, service = std::move(service), zone = std::move(zone)] {
-        send_heartbeats(registry, service, zone);
-    }).detach();
+    register_state();
+    std::thread([this] { send_heartbeats(); }).detach();
 }
 
-void upstream::send_heartbeats(store& registry, const std::string& service, const std::string& zone) const {
-    const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-    for (int sequence = 1;; ++sequence) {
-        std::ostringstream spec;
-        spec << R"({"service":")" << service << R"(","address":")" << listener_->address() << R"(","zone":")"
-             << zone << R"(","version":"v1","slots":4,"state":"ready","warmupLeft":"0ms","born":)" << born
-             << R"(,"sequence":)" << sequence << "}";
-        registry.put("servers", id_, spec.str());
+// Writes the entry of this upstream; an empty state means that it has left.
+void upstream::register_state() {
+    const std::lock_guard lock(mutex_);
+    if (state_.empty()) return;
+    std::ostringstream spec;
+    spec << R"({"service":")" << service_ << R"(","address":")" << listener_->address() << R"(","zone":")"
+         << zone_ << R"(","version":")" << version_ << R"(","slots":4,"state":")" << state_
+         << R"(","warmupLeft":"0ms","born":)" << born_ << R"(,"sequence":)" << ++sequence_ << "}";
+    registry_.put("servers", id_, spec.str());
+}
+
+void upstream::send_heartbeats() {
+    for (;;) {
         sleep_ms(heartbeat_ms);
+        register_state();
     }
 }
 
+void upstream::leave(std::int64_t serve_ms) {
+    {
+        const std::lock_guard lock(mutex_);
+        state_ = "draining";
+    }
+    record_.line(id_ + " drains");
+    register_state();
+    std::thread([this, serve_ms] {
+        sleep_ms(serve_ms);
+        const std::lock_guard lock(mutex_);
+        state_.clear();
+        registry_.remove("servers", id_);
+    }).detach();
+}
+
 std::vector<execution> upstream::executions() const {
     const std::lock_guard lock(mutex_);
     return executions_;
--- a/review/stand_ins/platform.h
+++ b/review/stand_ins/platform.h
@@ -35,6 +35,8 @@
     [[nodiscard]] const std::string& address() const { return listener_->address(); }
     void put(const std::string& kind, const std::string& name, const std::string& spec);
     void remove(const std::string& kind, const std::string& name);
+    /// @brief Text of the status of an object; empty when there is none.
+    [[nodiscard]] std::string status(const std::string& kind, const std::string& name);
     /// @brief While set, the store answers every call, also those that wait, with 503.
     std::atomic<bool> down{false};
 
@@ -91,15 +93,25 @@
     using behaviour = std::function<upstream_answer(const http_message&)>;
     /// @param decide Called when a request begins to run.
     upstream(store& registry, recorder& record, const std::string& ip, std::string id, std::string service,
-             std::string zone, behaviour decide);
+             std::string zone, behaviour decide, std::string version = "v1");
     [[nodiscard]] std::vector<execution> executions() const;
+    /// @brief Reports `draining`, and removes the entry after a time in which it still serves.
+    void leave(std::int64_t serve_ms);
 
 private:
     void serve(connection& peer);
-    void send_heartbeats(store& registry, const std::string& service, const std::string& zone) const;
+    void send_heartbeats();
+    void register_state();
 
+    store& registry_;
     recorder& record_;
     std::string id_;
+    std::string service_;
+    std::string zone_;
+    std::string version_;
+    std::int64_t born_;
+    std::int64_t sequence_ = 0;
+    std::string state_ = "ready";
     behaviour decide_;
     mutable std::mutex mutex_;
     std::vector<execution> executions_;
