Accept in a planned stop only what can be answered before its end

Cause: a request was accepted until a constant time whatever its deadline, and cut at another constant.

What does not fit is refused as vm_leaving, which has not run. Requests still in progress at the end get an error answer and a log line. Young connections are no longer closed as idle.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -506,9 +506,10 @@
     return idle == connections_.end() ? nullptr : *idle;
 }
 
-void caller_server::close_idle() {
+void caller_server::close_idle(time_ms idle_for) {
+    const auto before = monotonic_now() - idle_for;
     for (const auto& item : connections_) {
-        if (!item->busy() && item->empty()) item->close();
+        if (!item->busy() && item->empty() && item->idle_since() <= before) item->close();
     }
 }
 
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -73,7 +73,9 @@
     /// @brief Makes every further answer close its connection.
     void begin_stop() { stopping_ = true; }
     /// @brief Closes connections that neither handle a request nor have unread bytes.
-    void close_idle();
+    /// @param idle_for Minimum time since they were opened or last answered; the next request of a younger
+    /// one may be on its way.
+    void close_idle(time_ms idle_for = {});
     /// @brief Stops accepting.
     void stop_accepting();
     /// @brief Sets the lag of the event loop: about how long bytes wait in the socket before they are read.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,12 +41,11 @@
 // Lifetime of a lookup answer: long enough to save lookups, short enough for callers to leave a dead VM soon.
 constexpr time_ms max_lookup_lifetime{2000};
 constexpr time_ms store_write_timeout{1000};
-// Stages of a graceful stop, from its start: first, lookups stop naming this VM; then idle connections are
-// closed; then new requests are refused. The time left of the grace, less the margin, is for requests in
-// flight.
-constexpr time_ms stop_close_idle_after{2500};
-constexpr time_ms stop_refuse_after{3300};
-constexpr time_ms stop_margin{400};
+constexpr time_ms stop_poll_interval{10};
+// In a graceful stop, a connection that is younger may still get its first request.
+constexpr time_ms stop_min_idle_time{250};
+// Longest time by which the handling of a signal is assumed to be late.
+constexpr time_ms max_signal_delay{200};
 // VMs listed in one lookup answer.
 constexpr std::size_t max_lookup_addresses = 64;
 // Share of the file descriptors that callers may use. The others are for endpoints, peers and the store,
@@ -431,15 +430,15 @@
 
 asio::awaitable<void> gateway::tick() {
     time_ms next_report{0};
-    time_ms lag{0};
     for (;;) {
         const auto due = monotonic_now() + tick_interval;
         co_await sleep(context_, tick_interval);
         const auto now = monotonic_now();
         // The delay of the tick shows how long other events wait. At least half of the last value is kept,
         // because a backlog is processed in batches.
-        lag = std::max(now - due, lag / 2);
-        callers_.set_lag(lag > min_compensated_lag ? lag : time_ms{0});
+        const auto lag = std::max(now - due, loop_lag_ / 2);
+        loop_lag_ = lag > min_compensated_lag ? lag : time_ms{0};
+        callers_.set_lag(loop_lag_);
         if (now - due > min_logged_lag)
             log(log_level::warn, "thread_late", {{"ms", (now - due).count}, {"busy", callers_.busy()}});
         deadlines_.tick(now);
@@ -528,26 +527,37 @@
 }
 
 // Stops gracefully within the grace: announces the stop to the other VMs, gives callers time to use other
-// VMs, and finishes the requests in flight.
+// VMs, and finishes the requests that it accepts. Requests that cannot be answered before the end are
+// refused.
 asio::awaitable<void> gateway::stop() {
-    const auto begun = monotonic_now();
+    const stop_schedule schedule(monotonic_now() - std::min(loop_lag_, max_signal_delay), bounds_.stop_grace);
     leaving_ = true;
-    log(log_level::info, "stopping", {{"busy", callers_.busy()}, {"connections", callers_.connections()}});
+    log(log_level::info, "stopping",
+        {{"busy", callers_.busy()},
+         {"connections", callers_.connections()},
+         {"grace_ms", bounds_.stop_grace.count}});
     callers_.begin_stop();
+    flow_.begin_stop(schedule);
     send_reports();
-    co_await sleep(context_, std::min(stop_close_idle_after, bounds_.stop_grace / 2));
-    callers_.close_idle();
-    co_await sleep(context_, std::min(stop_refuse_after, bounds_.stop_grace / 2) -
-                                 std::min(stop_close_idle_after, bounds_.stop_grace / 2));
-    flow_.refuse_all();
-    const auto end = begun + bounds_.stop_grace - stop_margin;
-    while (callers_.busy() > 0 && monotonic_now() < end) {
-        co_await sleep(context_, tick_interval);
-        callers_.close_idle();
+    co_await sleep(context_, schedule.close_idle_at() - monotonic_now());
+    callers_.close_idle(stop_min_idle_time);
+    co_await sleep(context_, schedule.restrict_at() - monotonic_now());
+    while (callers_.busy() > 0 && monotonic_now() < schedule.end()) {
+        co_await sleep(context_, std::min(tick_interval, schedule.end() - monotonic_now()));
+        callers_.close_idle(stop_min_idle_time);
     }
     callers_.stop_accepting();
-    callers_.close_idle();
-    log(log_level::info, "stop_finished", {{"busy", callers_.busy()}});
+    // Connections that have just been accepted still get an answer to their first request.
+    while (callers_.connections() > 0 && monotonic_now() < schedule.end()) {
+        co_await sleep(context_, std::min(tick_interval, schedule.end() - monotonic_now()));
+        callers_.close_idle(stop_min_idle_time);
+    }
+    const auto given_up = callers_.busy();
+    flow_.give_up_requests();
+    while (callers_.busy() > 0 && monotonic_now() < schedule.exit_at()) {
+        co_await sleep(context_, stop_poll_interval);
+    }
+    log(log_level::info, "stop_finished", {{"given_up", given_up}, {"busy", callers_.busy()}});
     context_.stop();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,6 +98,8 @@
     std::uint64_t report_sequence_ = 0;
     // Reports of other VMs that were dropped because a later one had arrived.
     std::uint64_t outdated_reports_ = 0;
+    // How late the event loop handles events, as last measured; 0 when it is small.
+    time_ms loop_lag_{0};
     bool leaving_ = false;
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -69,6 +69,24 @@
     return std::min(max_deadline, time_ms{static_cast<std::int64_t>(value)});
 }
 
+/// Keeps an attempt in a set for the scope.
+class attempt_registration {
+public:
+    attempt_registration(std::set<endpoint_attempt*>& attempts, endpoint_attempt& attempt)
+        : attempts_(attempts), attempt_(&attempt) {
+        attempts_.insert(attempt_);
+    }
+    ~attempt_registration() { attempts_.erase(attempt_); }
+    attempt_registration(const attempt_registration&) = delete;
+    attempt_registration& operator=(const attempt_registration&) = delete;
+    attempt_registration(attempt_registration&&) = delete;
+    attempt_registration& operator=(attempt_registration&&) = delete;
+
+private:
+    std::set<endpoint_attempt*>& attempts_;
+    endpoint_attempt* attempt_;
+};
+
 } // namespace
 
 request_flow::request_flow(deadline_queue& deadlines, endpoint_connection_pool& pool,
@@ -86,13 +104,11 @@
     context.attempt_id = std::string(view(request.fields[dialect_.attempt_id]));
     std::optional<refusal> cause;
     try {
-        if (refusing_) throw error(error_kind::vm_leaving, "the VM is stopping");
         resolve_request(context);
         cause = admit(context);
     } catch (const error& problem) {
         cause = refusal{problem.kind(), problem.what(), {}};
         if (problem.kind() == error_kind::not_configured) cause->retry_after = configuration_retry_after;
-        if (problem.kind() == error_kind::vm_leaving) cause->retry_after = stop_retry_after;
     }
     if (cause) co_return refuse(context, *cause);
     co_return co_await forward(context, sink);
@@ -194,7 +210,8 @@
         const auto choice = selector_.choose(now, query, context.service);
         context.expected_latency = choice.expected;
         const bool repeat = attempts_sent > 0;
-        if (choice.endpoint == nullptr || (repeat && !repeats_.take(now, context.service_name))) {
+        const bool in_time = may_finish(context, now);
+        if (choice.endpoint == nullptr || !in_time || (repeat && !repeats_.take(now, context.service_name))) {
             if (last && last->answer && !last->answer->not_run) {
                 record_result(context, last->answer->status, "endpoint_failed", last->reason);
                 co_return make_caller_answer(*last->answer);
@@ -203,6 +220,8 @@
                 co_return refuse(context,
                                  {error_kind::endpoint_failed, last ? last->reason : "no answer", {}});
             }
+            if (choice.endpoint != nullptr && !in_time)
+                co_return refuse(context, {error_kind::vm_leaving, "the VM is stopping", stop_retry_after});
             co_return refuse(context, capacity_refusal(choice, repeat, query.left));
         }
         if (repeat) ++counters_.repeats;
@@ -228,8 +247,11 @@
         const bool ran = !result.unsent && !(result.answer && result.answer->not_run);
         context.may_have_run = context.may_have_run || ran;
         if (result.outcome == attempt_end::abandoned) {
-            co_return refuse(context,
-                             {error_kind::deadline_exceeded, "no answer of the endpoint in time", {}});
+            const bool stopped = stop_ && monotonic_now() < context.deadline;
+            co_return refuse(context, {error_kind::deadline_exceeded,
+                                       stopped ? "the VM stopped before the endpoint answered"
+                                               : "no answer of the endpoint in time",
+                                       {}});
         }
         const bool retry = may_retry(context, result) && attempts_sent < context.route->max_attempts &&
                            context.deadline - monotonic_now() > min_retry_time;
@@ -247,6 +269,19 @@
     }
 }
 
+// Whether the request, sent to an endpoint now, can be answered before the process ends.
+bool request_flow::may_finish(const request_context& context, time_ms now) const {
+    if (!stop_) return true;
+    // The caller decides how long the rest of a body takes.
+    const auto expected = context.request->remaining_body ? context.deadline : now + context.expected_latency;
+    return stop_->admits(now, expected, context.deadline);
+}
+
+void request_flow::give_up_requests() {
+    for (auto* attempt : attempts_)
+        attempt->abort();
+}
+
 // Refusal of a request for which no endpoint was chosen.
 request_flow::refusal request_flow::capacity_refusal(const endpoint_choice& choice, bool repeat,
                                                      time_ms left) {
@@ -314,6 +349,7 @@
                 moves_.on_overdue(sent);
             });
         }
+        const attempt_registration registration(attempts_, current_attempt);
         result = co_await current_attempt.run(endpoint->registration.address,
                                               make_attempt_message(context, id, context.deadline - started),
                                               learning_sink);
@@ -475,7 +511,7 @@
             fmt::format("Retry-After: {:.3f}\r\n", static_cast<double>(cause.retry_after.count) / 1000);
     }
     reply.body = error_body(cause.kind, cause.detail);
-    reply.close = refusing_;
+    reply.close = stop_.has_value();
     record_result(context, reply.status, row.name, cause.detail);
     return reply;
 }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -6,6 +6,7 @@
 #include "coordination/endpoint_selector.h"
 #include "coordination/repeat_budget.h"
 #include "coordination/route_table.h"
+#include "coordination/stop_schedule.h"
 #include "coordination/version_mover.h"
 #include "gateway/caller_server.h"
 #include "gateway/deadline_queue.h"
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -58,8 +60,12 @@
     /// @brief Puts a configuration into force; requests in progress keep the one they started with.
     void set_routes(std::shared_ptr<const route_table> routes) { routes_ = std::move(routes); }
     [[nodiscard]] const std::shared_ptr<const route_table>& routes() const { return routes_; }
-    /// @brief Refuses all further requests, because the process is about to end.
-    void refuse_all() { refusing_ = true; }
+    /// @brief Begins a graceful stop: from now on, only requests that the schedule admits are sent to
+    /// endpoints.
+    void begin_stop(const stop_schedule& schedule) { stop_ = schedule; }
+    /// @brief Gives up the requests that are at endpoints. Their callers get an error answer that does not
+    /// tell whether the request has run.
+    void give_up_requests();
 
     /// @brief Processes one request of a caller.
     /// @param sink Receives an answer that is too long to be buffered.
@@ -109,6 +115,7 @@
     void learn_full_deadline(request_context& context, time_ms wait);
     std::optional<refusal> admit(request_context& context);
     boost::asio::awaitable<caller_answer> forward(request_context& context, const answer_sink& sink);
+    [[nodiscard]] bool may_finish(const request_context& context, time_ms now) const;
     boost::asio::awaitable<endpoint_result> attempt(request_context& context, const endpoint_request& query,
                                                     const endpoint_choice& choice, const answer_sink& sink);
     void learn_endpoint_word(const request_context& context, endpoint_state& endpoint,
@@ -143,7 +150,10 @@
     std::unordered_map<std::string, time_ms> full_deadlines_;
     answer_size_estimator answer_sizes_;
     request_counters counters_;
-    bool refusing_ = false;
+    // Set from the start of a graceful stop.
+    std::optional<stop_schedule> stop_;
+    // Attempts that wait for an answer.
+    std::set<endpoint_attempt*> attempts_;
 };
 
 } // namespace lacewing
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "platform_stand_in.h"
 
 #include "platform/dialect.h"
+#include "transport/monotonic_clock.h"
 
 #include <fmt/format.h>
 #include <json/reader.h>
@@ -45,8 +46,8 @@
 
 } // namespace
 
-platform_stand_in::platform_stand_in(std::size_t vm_count)
-    : work_(asio::make_work_guard(context_)), vm_count_(vm_count) {
+platform_stand_in::platform_stand_in(std::size_t vm_count, time_ms grace)
+    : work_(asio::make_work_guard(context_)), vm_count_(vm_count), grace_(grace) {
     // Each test process and instance uses a different loopback address, because the ports are fixed.
     static std::atomic<int> instances{0};
     host_ =
@@ -78,19 +79,28 @@
     return fmt::format("{}:{}", host_, first_port + static_cast<int>(vm) * ports_per_vm + port_offset);
 }
 
-void platform_stand_in::start_vm(std::size_t index) {
-    const auto file = folder_ / fmt::format("vm-{}.yaml", index);
+std::filesystem::path platform_stand_in::write_settings(std::size_t vm) const {
+    auto file = folder_ / fmt::format("vm-{}.yaml", vm);
     std::ofstream out(file);
-    out << fmt::format("vm: vm-{}\nzone: {}\nregion: east\n", index, index % 2 == 0 ? "north" : "south")
+    out << fmt::format("vm: vm-{}\nzone: {}\nregion: east\n", vm, vm % 2 == 0 ? "north" : "south")
         << "zones:\n  - { zone: north, region: east }\n  - { zone: south, region: east }\n"
         << fmt::format(
                "caller_listen: \"{}\"\nready_listen: \"{}\"\nlookup_listen: \"{}\"\npeer_listen: \"{}\"\n",
-               address(index, caller_port_offset), address(index, ready_port_offset),
-               address(index, lookup_port_offset), address(index, peer_port_offset))
+               address(vm, caller_port_offset), address(vm, ready_port_offset),
+               address(vm, lookup_port_offset), address(vm, peer_port_offset))
         << fmt::format("platform_store: \"{}:{}\"\n", host_, store_port)
-        << fmt::format("seeds: [\"{}\"]\nfleet_start: true\nbounds: [\"grace=6s\", \"drain=2s\"]\n",
-                       address(0, peer_port_offset));
-    out.close();
+        << fmt::format("seeds: [\"{}\"]\nfleet_start: true\nbounds: [\"grace={}ms\", \"drain=2s\"]\n",
+                       address(0, peer_port_offset), grace_.count);
+    return file;
+}
+
+void platform_stand_in::change_grace(std::size_t index, time_ms grace) {
+    grace_ = grace;
+    write_settings(index);
+}
+
+void platform_stand_in::start_vm(std::size_t index) {
+    const auto file = write_settings(index);
     vms_[index] = std::make_unique<child_process>(std::string(LACEWING_BINARY_DIR) + "/lacewingd",
                                                   std::vector<std::string>{"--settings", file.string()},
                                                   folder_ / fmt::format("vm-{}.log", index));
@@ -110,16 +120,17 @@
     });
 }
 
-std::string platform_stand_in::configuration(int version, const std::string& key, double rate) {
+std::string platform_stand_in::configuration(int version, const std::string& key, double rate,
+                                             time_ms timeout) {
     return fmt::format(
-        R"({{"version":"r{}","routes":[)"
-        R"({{"name":"read","hostname":"lacewingplank","pathPrefix":"/read/","routeType":"idempotent","timeout":"3s",)"
+        R"({{"version":"r{0}","routes":[)"
+        R"({{"name":"read","hostname":"lacewingplank","pathPrefix":"/read/","routeType":"idempotent","timeout":"{1}ms",)"
         R"("targetLatency":"400ms","priority":1,"service":"s","maxAttempts":2,"sessionAffinity":true}},)"
-        R"({{"name":"pay","hostname":"lacewingplank","pathPrefix":"/pay/","routeType":"non_idempotent","timeout":"3s",)"
+        R"({{"name":"pay","hostname":"lacewingplank","pathPrefix":"/pay/","routeType":"non_idempotent","timeout":"{1}ms",)"
         R"("targetLatency":"400ms","priority":1,"service":"s","maxAttempts":2}}],)"
         R"("services":[{{"name":"s","healthPath":"/health","maxConnections":300,"warmup":"1s","warmupPerS":50}}],)"
-        R"("tenants":[{{"name":"ward","apiKeys":["{}"],"ratePerS":{},"burst":{}}}]}})",
-        version, key, rate, rate);
+        R"("tenants":[{{"name":"ward","apiKeys":["{2}"],"ratePerS":{3},"burst":{3}}}]}})",
+        version, timeout.count, key, rate);
 }
 
 void platform_stand_in::put_object(const std::string& kind, const std::string& name,
@@ -267,6 +278,11 @@
     return arrival_counts_[id];
 }
 
+std::map<std::string, platform_stand_in::execution> platform_stand_in::executions() {
+    const std::lock_guard lock(mutex_);
+    return executions_;
+}
+
 void platform_stand_in::set_word(const std::string& id, const endpoint_word& word) {
     const std::lock_guard lock(mutex_);
     words_[id] = word;
@@ -281,7 +297,10 @@
         const std::lock_guard lock(mutex_);
         word = words_[id];
         ++arrival_counts_[id];
-        if (word.pause.empty()) ++execution_counts_[id];
+        if (word.pause.empty()) {
+            ++execution_counts_[id];
+            executions_[std::string(request[names.attempt_id])] = {monotonic_now(), std::nullopt};
+        }
     }
     if (!word.pause.empty()) {
         auto refusal = make_response(503, "{}");
@@ -291,6 +310,10 @@
         co_return refusal;
     }
     co_await pause(context_.get_executor(), service_ms);
+    {
+        const std::lock_guard lock(mutex_);
+        executions_[std::string(request[names.attempt_id])].ended = monotonic_now();
+    }
     auto answer = make_response(version == failing_version ? 500 : 200, "");
     answer.body() = fmt::format(R"({{"endpoint":"{}","account":"{}","key":"{}","path":"{}","bytes":{}}})", id,
                                 std::string(request[names.account]), std::string(request[names.key]),
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,7 +24,9 @@
 class platform_stand_in {
 public:
     /// @param vm_count Number of VMs, placed alternately in the zones north and south of one region.
-    explicit platform_stand_in(std::size_t vm_count);
+    /// @param grace Time from SIGTERM to SIGKILL that the settings of the VMs name; nothing is killed after
+    /// it.
+    explicit platform_stand_in(std::size_t vm_count, time_ms grace = time_ms{6000});
     ~platform_stand_in();
     platform_stand_in(const platform_stand_in&) = delete;
     platform_stand_in& operator=(const platform_stand_in&) = delete;
@@ -49,6 +52,15 @@
     void add_endpoint(const std::string& id, const std::string& service, const std::string& version = "v1");
     /// @brief Number of requests that an endpoint has executed or begun to execute.
     [[nodiscard]] int execution_count(const std::string& id);
+    /// @brief A request that an endpoint has executed or begun to execute.
+    struct execution {
+        /// When the whole request had arrived.
+        time_ms begun;
+        /// When its answer was ready; nothing while the endpoint is at work.
+        std::optional<time_ms> ended;
+    };
+    /// @brief Executions by all endpoints, by attempt id; the last one of an id.
+    [[nodiscard]] std::map<std::string, execution> executions();
     /// @brief Time in ms that an endpoint takes for one request.
     std::atomic<int> service_ms{5};
     /// @brief Requests per second that endpoints name as their limit; 0 for none.
@@ -71,6 +83,8 @@
     [[nodiscard]] std::string lookup_address(std::size_t vm) const { return address(vm, lookup_port_offset); }
     child_process& vm_process(std::size_t index) { return *vms_.at(index); }
     void start_vm(std::size_t index);
+    /// @brief Writes the settings file of a VM again with another grace; the VM reads it on SIGHUP.
+    void change_grace(std::size_t index, time_ms grace);
     /// @brief Waits until the readiness check of every VM succeeds.
     /// @return False when one still fails after the default timeout of wait_until.
     bool wait_all_ready();
@@ -78,7 +92,9 @@
     /// @brief Configuration with the routes /read/ (idempotent) and /pay/ (not idempotent) on the service s,
     /// and the account ward.
     /// @param rate Requests per second and burst of the account.
-    static std::string configuration(int version, const std::string& key, double rate = 0);
+    /// @param timeout Timeout of both routes.
+    static std::string configuration(int version, const std::string& key, double rate = 0,
+                                     time_ms timeout = time_ms{3000});
 
 private:
     // Ports of a VM, relative to its first port.
@@ -88,6 +104,7 @@
     static constexpr int peer_port_offset = 3;
 
     [[nodiscard]] std::string address(std::size_t vm, int port_offset) const;
+    std::filesystem::path write_settings(std::size_t vm) const;
     [[nodiscard]] std::string with_raw_specs(std::string text) const;
     boost::asio::awaitable<http_response> handle_store_request(http_request request);
     boost::asio::awaitable<http_response> handle_endpoint_request(std::string id, std::string version,
@@ -107,6 +124,7 @@
     std::map<std::string, std::vector<change_event>> history_;
     std::map<std::string, int> execution_counts_;
     std::map<std::string, int> arrival_counts_;
+    std::map<std::string, execution> executions_;
     std::map<std::string, endpoint_word> words_;
     // Texts that replace the specs of objects in answers, by the placeholder that stands for each.
     std::map<std::string, std::string> raw_specs_;
@@ -120,6 +138,7 @@
     std::filesystem::path folder_;
     std::string host_;
     std::size_t vm_count_;
+    time_ms grace_;
     std::vector<std::unique_ptr<child_process>> vms_;
 };
 
