Claim a request id before a stopping VM refuses the request

What callers saw: on the own interface, the repeat of an at-most-once request at a VM in the last stage of a stop was refused with the effect not_run while the first request with that id was running at an endpoint. A caller that believes it pays twice.

Cause: the refusal of a stopping VM stood in find_route, before the claim of the request id; every other refusal of such a route follows the claim.

Change: the refusal follows the claim, which answers outcome_unknown for an id that is running.

Evidence: "graceful stop: the repeat of a running at-most-once request is refused as not run" failed before and passes now; "graceful stop: a half-sent upload or a slow answer is aborted" still passes (vm_leaving, not_run).

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -281,6 +281,7 @@
         current.id_claim = co_await state_.claim_request_id(current.identity, current.request_id);
     }
     try {
+        state_.refuse_new_when_stopping();
         co_await state_.admit(current.identity, current.deadline);
         co_await receive_first_chunk(current);
         co_await forward_with_retries(current);
--- a/src/daemon/serve_state.cpp
+++ b/src/daemon/serve_state.cpp
@@ -349,7 +349,6 @@
 }
 
 request_identity serve_state::find_route(std::string_view name) const {
-    if (refusing_) throw error(error_kind::vm_leaving, "this VM is leaving; ask for the entry VMs again");
     if (!snapshot_) throw error(error_kind::not_configured, "no configuration has been received yet");
     request_identity identity;
     identity.snapshot = snapshot_;
@@ -363,6 +362,10 @@
     return identity;
 }
 
+void serve_state::refuse_new_when_stopping() const {
+    if (refusing_) throw error(error_kind::vm_leaving, "this VM is leaving; ask for the entry VMs again");
+}
+
 // A key in the path or the query would reach the endpoint, so the whole request is rejected.
 void serve_state::reject_key_in_target(std::string_view target, std::string_view key) const {
     const auto parts = target_parts(target);
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -218,6 +218,9 @@
     [[nodiscard]] bool contains_key(std::string_view text) const;
     /// @brief Adds the account of the key and its plan, and checks that the plan includes the route.
     void authenticate(request_identity& identity, std::string_view key) const;
+    /// @brief Refuses every request in the last stage of a graceful stop. Must follow the claim of the
+    /// request id, because the refusal says that the request was not run.
+    void refuse_new_when_stopping() const;
     /// @brief Adds the caller class; an unknown name leaves the default.
     static void set_caller_class(request_identity& identity, std::string_view class_name);
     /// @brief Takes one request out of the account's budget; waits for a loan if this VM's share is used up.
--- a/tests/system/graceful_stop_test.cpp
+++ b/tests/system/graceful_stop_test.cpp
@@ -69,3 +69,31 @@
     CHECK(system.send_to_vm(0, "/r/balance/x", system.office_key()).status != 0);
     CHECK(system.send_to_vm(2, "/r/balance/x", system.office_key()).status == 200);
 }
+
+// Guards against an untrue "not run": the caller would send a payment again that is still running.
+TEST_CASE("graceful stop: the repeat of a running at-most-once request is refused as not run") {
+    deployment system;
+    system.set_endpoint_behaviour(R"({"service_ms":5000})", system.endpoint_address("payments", "north", 1));
+    system.set_endpoint_behaviour(R"({"service_ms":5000})", system.endpoint_address("payments", "north", 2));
+    const auto id = system.bound_request_id(1, 0, "repeated");
+    const auto payment = request_text("POST", "/r/payments/dues",
+                                      {{"Authorization", "Bearer " + system.office_key()},
+                                       {"X-Deadline-Ms", "10000"},
+                                       {"X-Request-Id", id}},
+                                      "dues");
+    raw_connection first(system.caller_address(1));
+    REQUIRE(first.send(payment));
+    REQUIRE(wait_until([&] { return system.executions_of(id) == 1; }));
+    system.vm_process(1).signal(SIGTERM);
+    const bool refusing = wait_until([&] {
+        return send_request(system.caller_address(1), "GET", "/r/notices/x").error() == "vm_leaving";
+    });
+    REQUIRE(refusing);
+    raw_connection repeat(system.caller_address(1));
+    REQUIRE(repeat.send(payment));
+    const auto answer = repeat.receive();
+    CHECK(answer.status != 0);
+    CHECK(answer.header("X-Lacewing-Effect") != "not_run");
+    CHECK(first.receive().status == 200);
+    CHECK(system.executions_of(id) == 1);
+}
