Bound a stop of the own interface by the grace of its supervisor

It went on accepting requests for 2 s whatever their deadline and waited for all of them, so the kill of a supervisor cut what had just been accepted.

Change: limits.stop_grace_ms names the grace (30 s by default). The stop uses stop_schedule, as the gateway does: once it has begun, a request is sent to an endpoint, first or again, only if its deadline is before the end of the process; a streamed upload has no such bound and is refused; requests that wait for a slot too long are refused with the last stage. The process ends before the grace and logs how many requests it gave up.

Evidence: "graceful stop: the process outlasts its grace, or accepts what it cannot answer in it" failed with the setting read and not used (the request with a deadline of 20 s ran, and the process outlasted 6 s) and passes now.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -37,7 +37,7 @@
 // previous table, and a series of changes has ended.
 constexpr time_ms trim_delay{1000};
 // In a graceful stop, time for callers to look up other entry VMs before this VM refuses their requests.
-constexpr std::chrono::milliseconds leave_notice_time{2000};
+constexpr time_ms leave_notice_time{2000};
 constexpr std::chrono::milliseconds leave_poll_interval{20};
 // Longest wait, in a graceful stop, for the loans given to expire and for the write that removes the roster
 // entry.
@@ -148,19 +148,26 @@
 // Announces the stop, gives callers time to look up other VMs, then refuses new requests and waits until the
 // requests in flight have ended and the shares are given up.
 asio::awaitable<void> control_thread::run_graceful_stop(std::function<void()> finished) {
-    log(log_level::info, "leaving", {{"vm", settings_.vm.value}});
+    const auto begun = monotonic_now();
+    const stop_schedule schedule(begun, settings_.limits.stop_grace);
+    log(log_level::info, "leaving",
+        {{"vm", settings_.vm.value}, {"grace_ms", settings_.limits.stop_grace.count}});
     node_.members().leave();
-    push_to_serve(stop_stage::leaving);
-    asio::steady_timer timer(context_, leave_notice_time);
+    push_to_serve(stop_notice{stop_stage::leaving, schedule});
+    const auto notice_time = std::min(leave_notice_time, schedule.restrict_at() - begun);
+    asio::steady_timer timer(context_, std::chrono::milliseconds(notice_time.count));
     co_await timer.async_wait(asio::use_awaitable);
-    push_to_serve(stop_stage::refusing);
+    push_to_serve(stop_notice{stop_stage::refusing, schedule});
     home_control_->leave();
     // The roster entry cannot be removed while the store is unreachable. Its lease then expires by itself.
     const auto roster_limit = monotonic_now() + roster_removal_limit;
     do {
         timer.expires_after(leave_poll_interval);
         co_await timer.async_wait(asio::use_awaitable);
-    } while (requests_in_flight_() > 0 || (!home_control_->left() && monotonic_now() < roster_limit));
+    } while (monotonic_now() < schedule.end() &&
+             (requests_in_flight_() > 0 || (!home_control_->left() && monotonic_now() < roster_limit)));
+    if (requests_in_flight_() > 0)
+        log(log_level::warn, "stop_gave_up_requests", {{"count", requests_in_flight_()}});
     for (const auto& action : node_.members().announce_exit(monotonic_now()))
         send(action);
     // The peer link sends in the background. The exit announcement is optional, so a short fixed time for it
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -282,8 +282,11 @@
     }
     try {
         state_.refuse_new_when_stopping();
+        state_.refuse_unless_in_time(current.deadline);
         co_await state_.admit(current.identity, current.deadline);
         co_await receive_first_chunk(current);
+        // The duration of a streamed upload has no bound.
+        if (current.streamed) state_.refuse_unless_in_time(std::nullopt);
         co_await forward_with_retries(current);
         current.id_claim.finish(request_effect::ran);
     } catch (const error& problem) {
@@ -344,6 +347,7 @@
                                             const std::optional<attempt_failure>& reported) {
     std::optional<error> unavailable;
     try {
+        state_.refuse_unless_in_time(current.deadline);
         co_return co_await state_.acquire_endpoint(current.identity, tried, current.deadline);
     } catch (const error& problem) {
         unavailable = problem;
--- a/src/daemon/serve_state.cpp
+++ b/src/daemon/serve_state.cpp
@@ -298,10 +298,17 @@
     unconfirmed_batch_.reset();
 }
 
-void serve_state::apply(stop_stage stage) {
+void serve_state::apply(const stop_notice& notice) {
     leaving_ = true;
-    if (stage != stop_stage::refusing) return;
+    stop_ = notice.schedule;
+    if (notice.stage != stop_stage::refusing) return;
     refusing_ = true;
+    // A slot that becomes free late would be of no use to a request that can outlast the process.
+    std::vector<std::uint64_t> too_late;
+    for (const auto& [id, waiter] : slot_waiters_) {
+        if (waiter->deadline > stop_->end()) too_late.push_back(id);
+    }
+    refuse_waiters(too_late);
     budgets_->stop(monotonic_now());
     process_budget_output();
     close_idle_connections();
@@ -366,6 +373,11 @@
     if (refusing_) throw error(error_kind::vm_leaving, "this VM is leaving; ask for the entry VMs again");
 }
 
+void serve_state::refuse_unless_in_time(std::optional<time_ms> deadline) const {
+    if (!stop_ || (deadline && stop_->admits(monotonic_now(), *deadline, *deadline))) return;
+    throw error(error_kind::vm_leaving, "this VM ends before the request could be answered");
+}
+
 // A key in the path or the query would reach the endpoint, so the whole request is rejected.
 void serve_state::reject_key_in_target(std::string_view target, std::string_view key) const {
     const auto parts = target_parts(target);
@@ -509,7 +521,7 @@
     if (pushed.evicted) refuse_waiters({*pushed.evicted});
     if (!pushed.accepted) throw error(error_kind::no_capacity, "the queue of the route is full");
 
-    slot_waiter waiter{asio::steady_timer(context_), std::nullopt, std::nullopt, false};
+    slot_waiter waiter{asio::steady_timer(context_), std::nullopt, std::nullopt, deadline, false};
     slot_waiters_.emplace(entry.id, &waiter);
     waiter.timer.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(0, (deadline - now).count)));
     start_borrowing(identity.route->name.value);
@@ -518,7 +530,7 @@
     slot_waiters_.erase(entry.id);
     if (waiter.ticket) co_return endpoint_lease(*this, *waiter.ticket, monotonic_now());
     if (waiter.borrowed) co_return endpoint_lease(*this, std::move(*waiter.borrowed), monotonic_now());
-    if (!waiter.refused) queue.cancel(entry.id, entry.account, entry.caller_class);
+    queue.cancel(entry.id, entry.account, entry.caller_class);
     throw error(error_kind::no_capacity, "no endpoint became free in time");
 }
 
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -204,7 +204,7 @@
     void apply(std::shared_ptr<const entry_view> view) { entry_view_ = std::move(view); }
     void apply(const peer_message& message);
     void apply(const home_batch& batch);
-    void apply(stop_stage stage);
+    void apply(const stop_notice& notice);
     void apply(const new_incarnation& changed);
     static void apply(std::monostate) {}
 
@@ -221,6 +221,9 @@
     /// @brief Refuses every request in the last stage of a graceful stop. Must follow the claim of the
     /// request id, because the refusal says that the request was not run.
     void refuse_new_when_stopping() const;
+    /// @brief Refuses a request that can outlast the process, once a graceful stop has begun.
+    /// @param deadline Time by which the request ends; nothing when it has no bound.
+    void refuse_unless_in_time(std::optional<time_ms> deadline) const;
     /// @brief Adds the caller class; an unknown name leaves the default.
     static void set_caller_class(request_identity& identity, std::string_view class_name);
     /// @brief Takes one request out of the account's budget; waits for a loan if this VM's share is used up.
@@ -279,6 +282,7 @@
         boost::asio::steady_timer timer;
         std::optional<route_ticket> ticket;
         std::optional<borrowed_slot> borrowed;
+        time_ms deadline;
         bool refused = false;
     };
     struct grant_waiter {
@@ -365,6 +369,8 @@
     std::atomic<std::size_t> busy_connections_{0};
     bool leaving_ = false;
     bool refusing_ = false;
+    // Set while leaving.
+    std::optional<stop_schedule> stop_;
 };
 
 } // namespace lacewing
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -36,8 +36,8 @@
 }
 
 limit_settings read_limits(const yaml_reader& item) {
-    item.check_fields(
-        {"header_bytes", "header_timeout_ms", "body_bytes", "queue_length", "caller_connections"});
+    item.check_fields({"header_bytes", "header_timeout_ms", "body_bytes", "queue_length",
+                       "caller_connections", "stop_grace_ms"});
     const limit_settings defaults;
     // A request line with the headers for a key and a request id needs at least this much.
     constexpr std::int64_t min_header_bytes = 512;
@@ -49,6 +49,8 @@
     limits.body_bytes = item.integer_or("body_bytes", 0, defaults.body_bytes);
     limits.queue_length = item.integer_or("queue_length", 0, defaults.queue_length);
     limits.caller_connections = item.integer_or("caller_connections", 1, defaults.caller_connections);
+    limits.stop_grace = item.duration_or("stop_grace_ms", duration_unit::milliseconds, defaults.stop_grace);
+    if (limits.stop_grace.count == 0) item.fail("stop_grace_ms", "must be above 0");
     return limits;
 }
 
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -225,17 +225,22 @@
     CHECK_FALSE(defaults.key_policy.serve_on_partition);
     const auto settings = parse_process_settings(
         settings_text("seeds: [127.0.0.1:5]\nkey_policy: {on_store_outage: refuse, on_partition: serve, "
-                      "partition_bound_s: 60s}\nlimits: {header_timeout_ms: 2500, queue_length: 7}\n"),
+                      "partition_bound_s: 60s}\nlimits: {header_timeout_ms: 2500, queue_length: 7, "
+                      "stop_grace_ms: 10s}\n"),
         "vm.yaml");
     CHECK_FALSE(settings.key_policy.serve_on_store_outage);
     CHECK(settings.key_policy.partition_bound.count == 60'000);
     CHECK(settings.limits.header_timeout.count == 2'500);
     CHECK(settings.limits.queue_length == 7);
+    CHECK(defaults.limits.stop_grace.count == 30'000);
+    CHECK(settings.limits.stop_grace.count == 10'000);
     CHECK(settings.seeds.size() == 1);
 }
 
 TEST_CASE("settings: violated rules") {
     CHECK(settings_error("vm: a\n") == "vm.yaml:1: zone: missing field");
+    CHECK(settings_error(settings_text("limits: {stop_grace_ms: 0}\n")) ==
+          "vm.yaml:7: limits.stop_grace_ms: must be above 0");
     CHECK(settings_error(settings_text("limit: {}\n")) == "vm.yaml:7: limit: unknown field");
     CHECK(settings_error(settings_text("key_policy: {outage_bound_s: 900/s}\n")) ==
           "vm.yaml:7: key_policy.outage_bound_s: unit '/s' is not a unit of a duration (ms, s, min, h)");
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -434,10 +434,10 @@
     write_file(fmt::format("vm-{}.yaml", index + 1),
                fmt::format("vm: vm-{}\nzone: {}\ncaller_listen: {}\npeer_listen: {}\noperator_listen: {}\n"
                            "store: {}\nseeds: [{}]\nlimits:\n  header_bytes: 16384\n"
-                           "  header_timeout_ms: 1000ms\n  body_bytes: {}\n",
+                           "  header_timeout_ms: 1000ms\n  body_bytes: {}\n  stop_grace_ms: {}\n",
                            index + 1, vm.zone, vm.caller_address, vm.peer_address, vm.operator_address,
-                           store_address_, seeds,
-                           index == 0 ? options_.first_vm_max_body_bytes : 268'435'456));
+                           store_address_, seeds, index == 0 ? options_.first_vm_max_body_bytes : 268'435'456,
+                           options_.stop_grace.count));
 }
 
 void deployment::start_vm(std::size_t index) {
--- a/tests/system/graceful_stop_test.cpp
+++ b/tests/system/graceful_stop_test.cpp
@@ -2,6 +2,8 @@
 // first, refuses new requests later, and finishes the requests that it has accepted before it exits.
 #include "deployment.h"
 
+#include "transport/monotonic_clock.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -97,3 +99,37 @@
     CHECK(first.receive().status == 200);
     CHECK(system.executions_of(id) == 1);
 }
+
+// Guards against the fault of issue 35 on the own interface: a request is taken that the kill of the process
+// cuts.
+TEST_CASE("graceful stop: the process outlasts its grace, or accepts what it cannot answer in it") {
+    deployment_options options;
+    options.stop_grace = time_ms{6000};
+    deployment system(std::move(options));
+    const auto send = [&system](const char* id, const char* deadline_ms) {
+        raw_connection connection(system.caller_address(1));
+        REQUIRE(connection.send(request_text("GET", "/r/balance/x",
+                                             {{"Authorization", "Bearer " + system.office_key()},
+                                              {"X-Deadline-Ms", deadline_ms},
+                                              {"X-Request-Id", id}})));
+        return connection;
+    };
+    system.set_endpoint_behaviour(R"({"service_ms":12000})", system.endpoint_address("balance", "north", 1));
+    system.set_endpoint_behaviour(R"({"service_ms":12000})", system.endpoint_address("balance", "north", 2));
+    const auto before = send("before", "20000");
+    REQUIRE(wait_until([&] { return system.executions_of("before") == 1; }));
+    system.set_endpoint_behaviour(R"({"service_ms":1500})", system.endpoint_address("balance", "north", 1));
+    system.set_endpoint_behaviour(R"({"service_ms":1500})", system.endpoint_address("balance", "north", 2));
+    const auto signalled = monotonic_now();
+    system.vm_process(1).signal(SIGTERM);
+    REQUIRE(wait_until([&] { return system.bound_request_id(1, 0, "x").empty(); }, {1'500}));
+    auto unbounded = send("unbounded", "20000");
+    auto bounded = send("bounded", "3000");
+    const auto refusal = unbounded.receive();
+    CHECK(refusal.error() == "vm_leaving");
+    CHECK(refusal.header("X-Lacewing-Effect") == "not_run");
+    CHECK(system.executions_of("unbounded") == 0);
+    CHECK(bounded.receive().status == 200);
+    CHECK(system.vm_process(1).wait({10'000}) == 0);
+    CHECK(monotonic_now() < signalled + time_ms{6000});
+}
