Drop pooled connections that may be silent after a request without an answer

What callers saw: when the connections to an endpoint go silent for good, each pooled one costs a request, which waits for its deadline; a payment then ends with an unknown outcome.

Cause: the deadline of a request closed its own connection only. The pool kept the others, which had been idle since before, for up to 4 s or the endpoint's keep-alive time, and handed them out one after the other.

Change: when a request on a pooled connection reaches its deadline without a byte of an answer, the connections to that endpoint that have been idle since before the request are dropped. Those that have answered since are kept.

Evidence: "endpoint attempt: after a request without an answer the next one meets a silent connection too" fails without the drop (the next request got the second silent connection) and passes with it; endpoint attempt and late request: 23 of 23 pass.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -78,16 +78,21 @@
     connection_->stream.socket().close(ignored);
 }
 
+void endpoint_attempt::expire() {
+    expired_ = true;
+    abort();
+}
+
 asio::awaitable<bool> endpoint_attempt::connect(std::string address) {
-    connection_ = pool_.take_idle(address, monotonic_now());
+    started_ = monotonic_now();
+    connection_ = pool_.take_idle(address, started_);
     if (connection_ != nullptr) co_return true;
-    const auto started = monotonic_now();
     connection_ = pool_.create(address);
     auto& socket = connection_->stream.socket();
     bool expired = false;
     error_code failure;
     {
-        const scoped_deadline limit(deadlines_, started + connect_timeout, [&] {
+        const scoped_deadline limit(deadlines_, started_ + connect_timeout, [&] {
             expired = true;
             error_code ignored;
             socket.close(ignored);
@@ -97,7 +102,7 @@
     if (failure || expired || aborted_) co_return false;
     socket.set_option(asio::ip::tcp::no_delay(true), failure);
     set_reset_on_close(socket);
-    connect_duration_ = monotonic_now() - started;
+    connect_duration_ = monotonic_now() - started_;
     co_return true;
 }
 
@@ -145,6 +150,7 @@
     const auto count =
         co_await connection_->stream.socket().async_read_some(buffer.prepare(wanted), completion(failure));
     last_read_full_ = count == wanted;
+    any_received_ = any_received_ || count > 0;
     buffer.commit(count);
     co_return !failure && count > 0;
 }
@@ -271,6 +277,7 @@
         result.outcome = attempt_end::abandoned;
         result.answer.reset();
     }
+    if (expired_ && !connect_duration_ && !any_received_) pool_.drop_idle(address, started_);
     if (!request_write_->done || result.outcome == attempt_end::broken ||
         result.outcome == attempt_end::abandoned) {
         error_code ignored;
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -92,6 +92,10 @@
 
     /// @brief Closes the connection; run() then returns with the outcome `abandoned`.
     void abort();
+    /// @brief Ends the attempt like abort(), because its time is over. If not a byte has arrived on a pooled
+    /// connection, the path that the other pooled connections use may have gone silent, so those that have
+    /// been idle for longer than this attempt are closed.
+    void expire();
     /// @brief Duration of the connect; nothing when a pooled connection was used or the connect failed.
     [[nodiscard]] std::optional<time_ms> connect_duration() const { return connect_duration_; }
 
@@ -111,7 +115,10 @@
     std::shared_ptr<endpoint_connection> connection_;
     std::shared_ptr<request_write> request_write_;
     std::optional<time_ms> connect_duration_;
+    time_ms started_{0};
     bool aborted_ = false;
+    bool expired_ = false;
+    bool any_received_ = false;
     bool reusable_ = true;
     // The last read filled its buffer, so more data is probably waiting.
     bool last_read_full_ = false;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -337,7 +337,7 @@
     bool overdue = false;
     {
         const scoped_deadline limit(deadlines_, context.deadline,
-                                    [&current_attempt] { current_attempt.abort(); });
+                                    [&current_attempt] { current_attempt.expire(); });
         const sent_request sent{context.service_name, endpoint->registration.version,
                                 context.route->name.value, choice.cold_ms};
         moves_.on_sent(sent);
--- a/src/transport/endpoint_connection_pool.cpp
+++ b/src/transport/endpoint_connection_pool.cpp
@@ -84,6 +84,13 @@
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+void endpoint_connection_pool::drop_idle(std::string_view address, time_ms used_before) {
+    const auto found = idle_.find(std::string(address));
+    if (found == idle_.end()) return;
+    std::erase_if(found->second,
+                  [used_before](const auto& connection) { return connection->idle_since <= used_before; });
+}
+
 std::size_t endpoint_connection_pool::idle_count() const {
     std::size_t count = 0;
     for (const auto& [address, idle_list] : idle_)
--- a/src/transport/endpoint_connection_pool.h
+++ b/src/transport/endpoint_connection_pool.h
@@ -71,6 +71,10 @@
     /// @brief Drops connections that have been idle for longer than their limit.
     void close_expired(time_ms now);
 
+    /// @brief Drops the connections to an endpoint that were last used before a time.
+    /// @param address ip:port of the endpoint.
+    void drop_idle(std::string_view address, time_ms used_before);
+
     /// @brief Number of idle connections to all endpoints.
     [[nodiscard]] std::size_t idle_count() const;
 
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -125,7 +125,7 @@
         endpoint_attempt attempt(pool, deadlines, platform::dialect);
         endpoint_result result;
         bool done = false;
-        const scoped_deadline limit(deadlines, monotonic_now() + patience, [&] { attempt.abort(); });
+        const scoped_deadline limit(deadlines, monotonic_now() + patience, [&] { attempt.expire(); });
         const auto body = [&]() -> asio::awaitable<void> {
             result = co_await attempt.run(address, message, sink);
             done = true;
@@ -421,6 +421,26 @@
     CHECK_FALSE(result.answer);
 }
 
+// Guards against pooled connections that have gone silent for good: each of them would cost one more request.
+TEST_CASE("endpoint attempt: after a request without an answer the next one meets a silent connection too") {
+    attempt_fixture fixture({{answer("first")}, {""}, {answer("third")}});
+    const auto idle = fixture.pool.create(fixture.endpoint.address());
+    boost::system::error_code failure;
+    idle->stream.socket().connect(fixture.endpoint.acceptor.local_endpoint(), failure);
+    REQUIRE_FALSE(failure);
+    fixture.pool.put_idle(idle, monotonic_now());
+    REQUIRE(fixture.run().outcome == attempt_end::answered);
+    const auto other = fixture.pool.create(fixture.endpoint.address());
+    other->stream.socket().connect(fixture.endpoint.acceptor.local_endpoint(), failure);
+    REQUIRE_FALSE(failure);
+    fixture.pool.put_idle(other, monotonic_now());
+    REQUIRE(fixture.pool.idle_count() == 2);
+    CHECK(fixture.run().outcome == attempt_end::abandoned);
+    CHECK(fixture.pool.idle_count() == 0);
+    CHECK(fixture.run().outcome == attempt_end::answered);
+    CHECK(fixture.endpoint.connections == 3);
+}
+
 TEST_CASE("endpoint attempt: a refused connection counts as a request that may have run") {
     attempt_fixture fixture({});
     const auto address = fixture.endpoint.address();
