Give back a token only to a request that has taken one

What callers saw: an account got far more than its rate when it mixed its requests with ones that are refused before the rate is asked, such as those with a malformed deadline (QUOTA).

Cause: refuse() gave a token back for every refusal that says "not run" of a known account except rate_exceeded, whether or not the request had been charged.

Change: the request records that it was charged; only then the token is given back.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -164,6 +164,7 @@
                                        context.account->rate_per_s),
                            decision.retry_after};
         }
+        context.charged = true;
     }
     context.service_name = split_.choose(*context.route);
     context.service = context.routes->service(context.service_name);
@@ -498,9 +499,7 @@
     const auto& row = error_answer_for(cause.kind);
     ++counters_.refused[static_cast<std::size_t>(cause.kind)];
     const bool not_run = row.effect == request_effect::not_run;
-    if (not_run && context.account != nullptr && cause.kind != error_kind::rate_exceeded) {
-        limiter_.refund(context.account->name.value);
-    }
+    if (not_run && context.charged) limiter_.refund(context.account->name.value);
     caller_answer reply;
     reply.status = static_cast<unsigned>(row.http_status);
     reply.headers = "Content-Type: application/json\r\n";
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -101,6 +101,8 @@
         std::string endpoint;
         /// The last endpoint was expected to handle the object faster, having handled it lately.
         bool warm = false;
+        /// The request has taken a token of its account's rate.
+        bool charged = false;
         /// An endpoint may have run the request, so an error answer must not say "not run".
         bool may_have_run = false;
     };
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -108,6 +108,27 @@
     CHECK(wait_until(in_force, {2'000}));
 }
 
+// Guards against QUOTA: a refusal gave back a token that the request had not taken.
+TEST_CASE("platform: requests that are refused before they are charged raise the rate of their account") {
+    constexpr double rate = 10;
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "secret", rate));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    auto malformed = request_headers("bad");
+    malformed[1].second = "soon";
+    int served = 0;
+    const auto begun = monotonic_now();
+    while (monotonic_now() < begun + time_ms{2000}) {
+        const auto address = platform.caller_address(0);
+        CHECK(send_request(address, "GET", "/read/x", malformed).status == 400);
+        if (send_request(address, "GET", "/read/x", request_headers("good")).status == 200) ++served;
+    }
+    const auto seconds = static_cast<double>((monotonic_now() - begun).count) / 1000;
+    CHECK(served > 0);
+    CHECK(served <= rate + rate * seconds + 1);
+}
+
 TEST_CASE("platform: a deregistered endpoint still gets requests, or a malformed registration is used") {
     platform_stand_in platform(2);
     platform.put_object("config", "main", platform_stand_in::configuration(1, "secret"));
