Give the outstanding read of a caller's connection memory of its own

Cause: the read that is outstanding while a request is handled shared its buffer with the parser. Consuming the buffer to its end under the read moved the positions, so that the end of the read published old bytes.

Change: reads end in memory of their own and are then moved behind the bytes not consumed yet. An idle connection releases the other buffer, so it keeps as much memory as before.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -70,7 +70,8 @@
 };
 
 /// One connection of a caller. At most one read is outstanding; while a request is being handled, that read
-/// detects that the caller disconnects.
+/// detects that the caller disconnects. It has a buffer of its own, so the bytes that have arrived may be
+/// consumed meanwhile.
 class caller_server::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(tcp::socket socket, deadline_queue& deadlines)
@@ -104,6 +105,8 @@
     /// @return False when the caller closes the connection or sends nothing until the given time.
     asio::awaitable<bool> wait_for_request(time_ms until) {
         if (buffer_.size() > 0) co_return true;
+        // An idle connection keeps only the memory of its read.
+        buffer_.shrink_to_fit();
         const scoped_deadline limit(deadlines_, until, [self = shared_from_this()] { self->close(); });
         start_read();
         while (reading_) {
@@ -141,10 +144,10 @@
         // While a request is being handled, pipelined requests are buffered only up to this limit.
         if (reading_ || (on_disconnect_ && buffer_.size() >= max_read_bytes)) return;
         reading_ = true;
-        socket_.async_read_some(buffer_.prepare(read_bytes_),
+        socket_.async_read_some(incoming_.prepare(read_bytes_),
                                 [self = shared_from_this()](error_code failure, std::size_t count) {
                                     self->reading_ = false;
-                                    self->buffer_.commit(count);
+                                    self->take_incoming(count);
                                     if (count == self->read_bytes_) self->read_bytes_ = max_read_bytes;
                                     if (failure || count == 0) {
                                         self->ended_ = true;
@@ -185,6 +188,17 @@
     [[nodiscard]] bool ended() const { return ended_; }
 
 private:
+    // Moves the bytes of a read that has ended behind those that have not been consumed yet.
+    void take_incoming(std::size_t count) {
+        incoming_.commit(count);
+        if (buffer_.size() == 0) {
+            std::swap(buffer_, incoming_);
+        } else {
+            buffer_.commit(asio::buffer_copy(buffer_.prepare(count), incoming_.data()));
+        }
+        incoming_.consume(incoming_.size());
+    }
+
     asio::awaitable<void> wait_for_read() {
         error_code woken;
         read_done_.expires_at(std::chrono::steady_clock::time_point::max());
@@ -194,7 +208,10 @@
     tcp::socket socket_;
     deadline_queue& deadlines_;
     asio::steady_timer read_done_;
+    // Bytes that have arrived and are not consumed yet.
     boost::beast::flat_buffer buffer_;
+    // Memory of the outstanding read; empty otherwise.
+    boost::beast::flat_buffer incoming_;
     std::function<void()> on_disconnect_;
     std::size_t read_bytes_ = initial_read_bytes;
     time_ms idle_since_ = monotonic_now();
