Pass on a promise of "not run" only if the endpoint made it

Cause: the rule that such an answer becomes 502 stood in one of three places and was reached by 503 only. A 503 was passed on when a repeat found no endpoint, and any of the three when the answer was too long to be buffered.

Change: endpoint_answer::unproven_refusal() decides for all of them; the answer counts as a failure of the endpoint.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -59,8 +59,18 @@
     return *length;
 }
 
+bool states_not_run(const endpoint_answer& answer, const caller_dialect& dialect) {
+    return answer.fields.count(dialect.not_run) > 0 || answer.status == 421;
+}
+
 } // namespace
 
+bool endpoint_answer::unproven_refusal() const {
+    // The statuses that tell a caller that its request was not run and may be sent again. 421 proves it.
+    constexpr std::array<unsigned, 3> refusals{408, 429, 503};
+    return !not_run && std::find(refusals.begin(), refusals.end(), status) != refusals.end();
+}
+
 /// State of writing a request to the endpoint; shared with the writing coroutine, which may outlive the
 /// attempt.
 struct endpoint_attempt::request_write {
@@ -212,6 +222,11 @@
                 endpoint_answer answer;
                 answer.status = parser.get().result_int();
                 answer.fields = parser.get().base();
+                answer.not_run = states_not_run(answer, dialect_);
+                if (answer.unproven_refusal()) {
+                    result.reason = fmt::format("a long answer {} that does not say not run", answer.status);
+                    co_return result;
+                }
                 const auto length = declared_length(parser);
                 result.streamed = true;
                 if (!co_await sink.begin(answer, length)) {
@@ -251,12 +266,13 @@
         answer.status = parser.get().result_int();
         answer.fields = std::move(parser.get().base());
         answer.body = std::move(parser.get().body());
-        answer.not_run = answer.fields.count(dialect_.not_run) > 0 || answer.status == 421;
+        answer.not_run = states_not_run(answer, dialect_);
         return_to_pool(answer.fields);
         result.stream_complete = result.streamed;
-        result.outcome = answer.not_run         ? attempt_end::not_run
-                         : answer.status >= 500 ? attempt_end::failed
-                                                : attempt_end::answered;
+        const bool failed = answer.status >= 500 || answer.unproven_refusal();
+        result.outcome = answer.not_run ? attempt_end::not_run
+                         : failed       ? attempt_end::failed
+                                        : attempt_end::answered;
         result.answer = std::move(answer);
         co_return result;
     }
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -25,6 +25,9 @@
     std::string body;
     /// The endpoint states that it did not run the request (not-run header or status 421).
     bool not_run = false;
+    /// @brief Whether a caller would take the status for a promise that nobody has made: that the request was
+    /// not run. Such an answer must not be passed on.
+    [[nodiscard]] bool unproven_refusal() const;
 };
 
 /// @brief Returns the next piece of a body that is too long to be buffered. An empty piece ends the body;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -213,7 +213,7 @@
         const bool repeat = attempts_sent > 0;
         const bool in_time = may_finish(context, now);
         if (choice.endpoint == nullptr || !in_time || (repeat && !repeats_.take(now, context.service_name))) {
-            if (last && last->answer && !last->answer->not_run) {
+            if (last && last->answer && !last->answer->not_run && !last->answer->unproven_refusal()) {
                 record_result(context, last->answer->status, "endpoint_failed", last->reason);
                 co_return make_caller_answer(*last->answer);
             }
@@ -258,8 +258,7 @@
                            context.deadline - monotonic_now() > min_retry_time;
         last = std::move(result);
         if (retry) continue;
-        if (last->answer && !last->answer->not_run && last->answer->status != 503 &&
-            last->answer->status != 429 && last->answer->status != 408) {
+        if (last->answer && !last->answer->not_run && !last->answer->unproven_refusal()) {
             ++counters_.failed_by_endpoint;
             record_result(context, last->answer->status, "endpoint_failed", "the endpoint's own answer");
             co_return make_caller_answer(*last->answer);
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -314,10 +314,12 @@
         const std::lock_guard lock(mutex_);
         executions_[std::string(request[names.attempt_id])].ended = monotonic_now();
     }
-    auto answer = make_response(version == failing_version ? 500 : 200, "");
+    const bool fails = version == failing_version;
+    auto answer = make_response(fails ? failing_status.load() : 200, "");
     answer.body() = fmt::format(R"({{"endpoint":"{}","account":"{}","key":"{}","path":"{}","bytes":{}}})", id,
                                 std::string(request[names.account]), std::string(request[names.key]),
                                 std::string(request.target()), request.body().size());
+    if (fails) answer.body() += std::string(failing_extra_bytes, ' ');
     answer.set(names.attempt_id, request[names.attempt_id]);
     answer.set(names.load, "1,0,8");
     if (!word.leaving.empty()) answer.set(names.leaving, word.leaving);
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -65,8 +65,11 @@
     std::atomic<int> service_ms{5};
     /// @brief Requests per second that endpoints name as their limit; 0 for none.
     std::atomic<double> named_limit{0};
-    /// @brief Endpoints of this version answer 500.
+    /// @brief Endpoints of this version answer failing_status after they have run a request.
     std::string failing_version;
+    std::atomic<unsigned> failing_status{500};
+    /// @brief Length of what a failing endpoint adds to its answer.
+    std::atomic<std::size_t> failing_extra_bytes{0};
     /// @brief What an endpoint says of itself in each answer.
     struct endpoint_word {
         /// Value of the header with which an endpoint says that it leaves; empty for none.
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -206,6 +206,40 @@
     CHECK(platform.execution_count("e-1") + platform.execution_count("e-2") == 10);
 }
 
+// Guards against REFUSED (review/3): the caller takes the status for "not run" and pays again.
+TEST_CASE("platform: the own 408, 429 or 503 of an endpoint that has run a payment is passed on") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "secret"));
+    platform.failing_version = "v1";
+    platform.add_endpoint("e-1", "s");
+    platform.add_endpoint("e-2", "s");
+    REQUIRE(platform.wait_all_ready());
+    int expected_executions = 0;
+    for (const std::size_t extra_bytes : {0, 300'000}) {
+        platform.failing_extra_bytes = extra_bytes;
+        for (const unsigned status : {408U, 429U, 503U}) {
+            CAPTURE(status);
+            CAPTURE(extra_bytes);
+            platform.failing_status = status;
+            const auto address = platform.caller_address(0);
+            http_answer payment;
+            REQUIRE(wait_until([&] {
+                payment = send_request(address, "POST", "/pay/x", request_headers("p"), "b");
+                return platform.execution_count("e-1") + platform.execution_count("e-2") >
+                       expected_executions;
+            }));
+            ++expected_executions;
+            CHECK(payment.status == 502);
+            CHECK(platform.execution_count("e-1") + platform.execution_count("e-2") == expected_executions);
+            const auto read = send_request(address, "GET", "/read/x", request_headers("r"));
+            const auto executions = platform.execution_count("e-1") + platform.execution_count("e-2");
+            // The VM itself refuses while both endpoints are suspended for their failures.
+            CHECK(read.status == (executions == expected_executions ? 503 : 502));
+            expected_executions = executions;
+        }
+    }
+}
+
 TEST_CASE("platform: a move to a good version is not completed, or one to a bad version is not reverted") {
     for (const bool good : {true, false}) {
         CAPTURE(good);
