Bound what a caller's body may leave unparsed

What callers saw: one connection with a chunk extension or a trailer without end took the memory of the process (400 MB in a second, before a key is checked), which the platform then ends.

Cause: the parser keeps the bytes of an unfinished line, and nothing bounded them within a body. The same bound exists for the answers of endpoints.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -40,6 +40,9 @@
 // request may already be on its way.
 constexpr time_ms min_idle_before_eviction{250};
 constexpr std::size_t max_linger_bytes = std::size_t{1024} * 1024;
+// Bytes that the parser keeps waiting for the end of a line within a body: a chunk size with its extension,
+// or trailers.
+constexpr std::size_t max_unparsed_bytes = max_read_bytes;
 
 auto completion(error_code& failure) {
     return asio::redirect_error(asio::use_awaitable, failure);
@@ -236,7 +239,11 @@
         error_code failure;
         const auto used = parser.put(buffer.data(), failure);
         buffer.consume(used);
-        if (failure == http::error::need_more) break;
+        if (failure == http::error::need_more) {
+            if (buffer.size() > max_unparsed_bytes && parser.is_header_done())
+                result.failure = http::error::header_limit;
+            break;
+        }
         if (failure) {
             result.failure = failure;
             return result;
--- a/tests/caller_server_test.cpp
+++ b/tests/caller_server_test.cpp
@@ -192,3 +192,33 @@
         CHECK_FALSE(fixture.receive_whole(*socket));
     }
 }
+
+// Guards against a caller that takes the memory of the process before its key is checked.
+TEST_CASE("caller server: a chunk extension or a trailer without end is buffered") {
+    constexpr std::string_view head = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    // The server reads this much at most before it answers and gives up on the connection.
+    constexpr std::size_t max_accepted_bytes = std::size_t{8} * 1024 * 1024;
+    for (const std::string_view begin : {"5;x=", "5\r\nhello\r\n0\r\nX-Trailer: "}) {
+        CAPTURE(begin);
+        server_fixture fixture(4);
+        auto socket = fixture.connect();
+        asio::write(*socket, asio::buffer(std::string(head) + std::string(begin)));
+        socket->non_blocking(true);
+        const std::string piece(4096, 'a');
+        boost::system::error_code failure;
+        std::string received;
+        std::size_t accepted = 0;
+        const auto until = monotonic_now() + time_ms{3000};
+        while (accepted < max_accepted_bytes && monotonic_now() < until) {
+            accepted += socket->write_some(asio::buffer(piece), failure);
+            if (failure && failure != asio::error::would_block) break;
+            fixture.context.poll();
+            fixture.deadlines.tick(monotonic_now());
+            std::array<char, 512> buffer{};
+            boost::system::error_code ignored;
+            received.append(buffer.data(), socket->read_some(asio::buffer(buffer), ignored));
+        }
+        CHECK(received.starts_with("HTTP/1.1 431 "));
+        CHECK(accepted < max_accepted_bytes);
+    }
+}
