--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -213,7 +213,7 @@
     asio::steady_timer read_done_;
     // Bytes that have arrived and are not consumed yet.
     boost::beast::flat_buffer buffer_;
-    // Memory of the outstanding read; empty otherwise.
+    // Memory of the outstanding read; holds no bytes otherwise.
     boost::beast::flat_buffer incoming_;
     std::function<void()> on_disconnect_;
     std::size_t read_bytes_ = initial_read_bytes;
