Log what each statement of "not run" rests on

An answer that promises "not run" left no trace of its ground: the request's line gave the last endpoint and the number of tries, not whether the endpoint had named the request, or whether its connection was new. No decision is changed.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -267,6 +267,7 @@
         answer.fields = std::move(parser.get().base());
         answer.body = std::move(parser.get().body());
         answer.not_run = states_not_run(answer, dialect_);
+        result.names_attempt = answer.fields[dialect_.attempt_id] == message.attempt_id;
         return_to_pool(answer.fields);
         result.stream_complete = result.streamed;
         const bool failed = answer.status >= 500 || answer.unproven_refusal();
@@ -289,6 +290,7 @@
     }
     start_request_write(message);
     result = co_await read_answer(sink);
+    result.new_connection = connect_duration_.has_value();
     if (aborted_) {
         result.outcome = attempt_end::abandoned;
         result.answer.reset();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -247,6 +247,7 @@
         }
         const bool ran = !result.unsent && !(result.answer && result.answer->not_run);
         context.may_have_run = context.may_have_run || ran;
+        if (result.answer && result.answer->not_run) record_statement(context, result);
         if (result.outcome == attempt_end::abandoned) {
             const bool stopped = stop_ && monotonic_now() < context.deadline;
             co_return refuse(context, {error_kind::deadline_exceeded,
@@ -304,6 +305,20 @@
     return {error_kind::no_capacity, detail, choice.retry_after};
 }
 
+// Records an endpoint's statement that it did not run the request, which an error answer may pass on.
+void request_flow::record_statement(request_context& context, const endpoint_result& result) {
+    ++context.stated_not_run;
+    ++counters_.stated_not_run;
+    if (!result.names_attempt) ++counters_.stated_not_run_unnamed;
+    if (!acquire_log_line(log_level::info)) return;
+    write_log(log_level::info, "stated_not_run",
+              {{"id", context.attempt_id},
+               {"endpoint", context.endpoint},
+               {"status", result.answer->status},
+               {"names_request", result.names_attempt},
+               {"new_connection", result.new_connection}});
+}
+
 // Whether the request may be sent to another endpoint after this result. An at-most-once request may only if
 // it was not run, a request with a body that is not fully buffered only if nothing was sent.
 bool request_flow::may_retry(const request_context& context, const endpoint_result& result) const {
@@ -532,6 +547,7 @@
                {"service", context.service_name},
                {"endpoint", context.endpoint},
                {"tries", context.tried.size()},
+               {"stated_not_run", context.stated_not_run},
                {"outcome", outcome},
                {"status", status},
                {"ms", duration.count},
