--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -260,12 +260,17 @@
             }));
         endpoint_address.set_value(endpoints_.back()->address());
     });
+    register_endpoint(id, service, endpoint_address.get_future().get(), version);
+}
+
+void platform_stand_in::register_endpoint(const std::string& id, const std::string& service,
+                                          const std::string& address, const std::string& version) {
     put_object(
         "servers", id,
         fmt::format(
             R"({{"service":"{}","address":"{}","zone":"north","version":"{}","slots":8,"state":"ready",)"
             R"("warmupLeft":"0ms","sequence":1,"born":1}})",
-            service, endpoint_address.get_future().get(), version));
+            service, address, version));
 }
 
 int platform_stand_in::execution_count(const std::string& id) {
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -50,6 +50,12 @@
 
     /// @brief Starts an endpoint in the zone north and registers it in the store.
     void add_endpoint(const std::string& id, const std::string& service, const std::string& version = "v1");
+    /// @brief Registers an endpoint of the zone north that runs elsewhere.
+    /// @param address "ip:port".
+    void register_endpoint(const std::string& id, const std::string& service, const std::string& address,
+                           const std::string& version = "v1");
+    /// @brief IPv4 address of the VMs and of the store.
+    [[nodiscard]] const std::string& host() const { return host_; }
     /// @brief Number of requests that an endpoint has executed or begun to execute.
     [[nodiscard]] int execution_count(const std::string& id);
     /// @brief A request that an endpoint has executed or begun to execute.
