Send a request only over connections on which it was not refused before

Cause: an answer is matched to a send by the id of the caller's attempt, which all sends of the attempt share. When a process has started again at its address under a new id and the entry of its predecessor is still listed, the request goes to the old id first and is refused with 421; the repeat to the new id takes the same connection, which is pooled by address. A second copy of the 421 is then read as the answer to the repeat, which runs. It also took the new endpoint out of use as replaced.

Change: a connection remembers the refusals that have arrived on it, as digests, and never carries a request again that it refused. A copy can thus only meet requests with other ids, which it does not match. A connection with more than 64 refusals is not pooled. A caller that uses its id for a second attempt is covered as well.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -93,9 +93,9 @@
     abort();
 }
 
-asio::awaitable<bool> endpoint_attempt::connect(std::string address) {
+asio::awaitable<bool> endpoint_attempt::connect(std::string address, std::string attempt_id) {
     started_ = monotonic_now();
-    connection_ = pool_.take_idle(address, started_);
+    connection_ = pool_.take_idle(address, started_, attempt_id);
     if (connection_ != nullptr) co_return true;
     connection_ = pool_.create(address);
     auto& socket = connection_->stream.socket();
@@ -268,6 +268,7 @@
         answer.body = std::move(parser.get().body());
         answer.not_run = states_not_run(answer, dialect_);
         result.names_attempt = answer.fields[dialect_.attempt_id] == message.attempt_id;
+        if (answer.not_run) connection_->record_refusal(message.attempt_id);
         return_to_pool(answer.fields);
         result.stream_complete = result.streamed;
         const bool failed = answer.status >= 500 || answer.unproven_refusal();
@@ -282,7 +283,7 @@
 asio::awaitable<endpoint_result> endpoint_attempt::run(std::string address, attempt_message message,
                                                        answer_sink sink) {
     endpoint_result result;
-    if (!co_await connect(address)) {
+    if (!co_await connect(address, message.attempt_id)) {
         result.outcome = aborted_ ? attempt_end::abandoned : attempt_end::unreachable;
         result.unsent = true;
         result.reason = fmt::format("no connection to {}", address);
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -109,7 +109,7 @@
 private:
     struct request_write;
 
-    boost::asio::awaitable<bool> connect(std::string address);
+    boost::asio::awaitable<bool> connect(std::string address, std::string attempt_id);
     void start_request_write(attempt_message& message);
     static boost::asio::awaitable<void> write_request(std::shared_ptr<request_write> state);
     boost::asio::awaitable<endpoint_result> read_answer(const answer_sink& sink);
--- a/src/transport/endpoint_connection_pool.cpp
+++ b/src/transport/endpoint_connection_pool.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace lacewing {
 
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::size_t max_idle_per_endpoint = 32;
+// Refusals that a connection remembers; it is not used again after more.
+constexpr std::size_t max_refusals_per_connection = 64;
 
 // A readable idle connection was closed by the endpoint or holds bytes that belong to no pending request.
 bool is_reusable(endpoint_connection& connection) {
@@ -27,16 +30,29 @@
     return failure == asio::error::would_block;
 }
 
+std::uint64_t digest_of(std::string_view request_id) {
+    return std::hash<std::string_view>{}(request_id);
+}
+
 } // namespace
 
-std::shared_ptr<endpoint_connection> endpoint_connection_pool::take_idle(std::string_view address,
-                                                                         time_ms now) {
+void endpoint_connection::record_refusal(std::string_view request_id) {
+    refused.push_back(digest_of(request_id));
+}
+
+bool endpoint_connection::has_refused(std::string_view request_id) const {
+    return std::find(refused.begin(), refused.end(), digest_of(request_id)) != refused.end();
+}
+
+std::shared_ptr<endpoint_connection>
+endpoint_connection_pool::take_idle(std::string_view address, time_ms now, std::string_view request_id) {
     const auto found = idle_.find(std::string(address));
     if (found == idle_.end()) return nullptr;
     auto& idle_list = found->second;
-    while (!idle_list.empty()) {
-        auto connection = std::move(idle_list.back());
-        idle_list.pop_back();
+    for (auto i = idle_list.size(); i-- > 0;) {
+        if (!request_id.empty() && idle_list[i]->has_refused(request_id)) continue;
+        auto connection = std::move(idle_list[i]);
+        idle_list.erase(idle_list.begin() + static_cast<std::ptrdiff_t>(i));
         if (now - connection->idle_since < connection->idle_limit && is_reusable(*connection))
             return connection;
     }
@@ -66,7 +82,7 @@
 }
 
 void endpoint_connection_pool::put_idle(std::shared_ptr<endpoint_connection> connection, time_ms now) {
-    if (connection->buffer.size() != 0) return;
+    if (connection->buffer.size() != 0 || connection->refused.size() > max_refusals_per_connection) return;
     auto& idle_list = idle_[connection->address];
     if (idle_list.size() >= max_idle_per_endpoint) return;
     connection->stream.expires_never();
--- a/src/transport/endpoint_connection_pool.h
+++ b/src/transport/endpoint_connection_pool.h
@@ -39,8 +39,17 @@
     bool used_before = false;
     /// Longest time for which an idle connection is kept; the endpoint may announce another one.
     time_ms idle_limit{3000};
+    /// Digests of the requests whose refusals have arrived on this connection.
+    std::vector<std::uint64_t> refused;
     /// Called when this object is destroyed; may be empty.
     std::function<void()> closed;
+
+    /// @brief Records that the endpoint has refused a request on this connection. A copy of that refusal may
+    /// still arrive, and could not be told from the answer to a repeat of the request.
+    /// @param request_id Id that the refusal names.
+    void record_refusal(std::string_view request_id);
+    /// @brief Whether a request of this id was refused on this connection.
+    [[nodiscard]] bool has_refused(std::string_view request_id) const;
 };
 
 /// @brief Pool of idle keep-alive connections to endpoints, by address. For use by one thread only.
@@ -49,10 +58,12 @@
     explicit endpoint_connection_pool(boost::asio::any_io_executor executor)
         : executor_(std::move(executor)) {}
 
-    /// @brief Takes an idle connection that the endpoint has neither closed nor written to; null if there is
-    /// none.
+    /// @brief Takes an idle connection that the endpoint has neither closed nor written to, and on which it
+    /// has not refused the same request before; null if there is none.
     /// @param address ip:port of the endpoint.
-    std::shared_ptr<endpoint_connection> take_idle(std::string_view address, time_ms now);
+    /// @param request_id Id of the request to send; empty if each send has an id of its own.
+    std::shared_ptr<endpoint_connection> take_idle(std::string_view address, time_ms now,
+                                                   std::string_view request_id = {});
 
     /// @brief Creates a connection object without connecting it.
     std::shared_ptr<endpoint_connection> create(std::string_view address);
@@ -65,7 +76,7 @@
                                                                          time_ms timeout);
 
     /// @brief Keeps a connection for reuse after a complete response has been read. A connection with unread
-    /// bytes, or above the limit per endpoint, is dropped instead.
+    /// bytes or many refusals, or above the limit per endpoint, is dropped instead.
     void put_idle(std::shared_ptr<endpoint_connection> connection, time_ms now);
 
     /// @brief Drops connections that have been idle for longer than their limit.
