Believe a refusal of an endpoint only if it names the request

Cause: on a new connection, an error answer without an attempt id counted as the answer to the request, also as its statement "not run". A process that writes such an answer on accept, before it has read the request, and then runs what is already in its socket, thus made the VM send the request to a second endpoint, and promise "not run" when the second one refused it. The same class as the copied refusal: a statement is taken for one about this send, without proof.

Change: a statement counts only in an answer that names the request, for all statuses, 421 included. Their connections are not used again. A request without an id gets a new connection, since no answer can name it. The line refusal_unproven tells them from stated_not_run in the log.

The scripted endpoint of the tests moves to a file of its own.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -59,15 +59,24 @@
     return *length;
 }
 
-bool states_not_run(const endpoint_answer& answer, const caller_dialect& dialect) {
+// Whether an answer names the request that it belongs to.
+bool names_request(const http::fields& fields, const caller_dialect& dialect, std::string_view attempt_id) {
+    return !attempt_id.empty() && fields[dialect.attempt_id] == attempt_id;
+}
+
+// Whether the endpoint states that it did not run the request. An answer that names none may have been
+// written before the request was read.
+bool states_not_run(const endpoint_answer& answer, const caller_dialect& dialect,
+                    std::string_view attempt_id) {
+    if (!names_request(answer.fields, dialect, attempt_id)) return false;
     return answer.fields.count(dialect.not_run) > 0 || answer.status == 421;
 }
 
 } // namespace
 
 bool endpoint_answer::unproven_refusal() const {
-    // The statuses that tell a caller that its request was not run and may be sent again. 421 proves it.
-    constexpr std::array<unsigned, 3> refusals{408, 429, 503};
+    // The statuses that tell a caller that its request was not run and may be sent again.
+    constexpr std::array<unsigned, 4> refusals{408, 421, 429, 503};
     return !not_run && std::find(refusals.begin(), refusals.end(), status) != refusals.end();
 }
 
@@ -95,7 +104,8 @@
 
 asio::awaitable<bool> endpoint_attempt::connect(std::string address, std::string attempt_id) {
     started_ = monotonic_now();
-    connection_ = pool_.take_idle(address, started_, attempt_id);
+    // Without an id, an answer on a connection that was in use before could be a late one.
+    if (!attempt_id.empty()) connection_ = pool_.take_idle(address, started_, attempt_id);
     if (connection_ != nullptr) co_return true;
     connection_ = pool_.create(address);
     auto& socket = connection_->stream.socket();
@@ -222,7 +232,7 @@
                 endpoint_answer answer;
                 answer.status = parser.get().result_int();
                 answer.fields = parser.get().base();
-                answer.not_run = states_not_run(answer, dialect_);
+                answer.not_run = states_not_run(answer, dialect_, message.attempt_id);
                 if (answer.unproven_refusal()) {
                     result.reason = fmt::format("a long answer {} that does not say not run", answer.status);
                     co_return result;
@@ -266,8 +276,9 @@
         answer.status = parser.get().result_int();
         answer.fields = std::move(parser.get().base());
         answer.body = std::move(parser.get().body());
-        answer.not_run = states_not_run(answer, dialect_);
-        result.names_attempt = answer.fields[dialect_.attempt_id] == message.attempt_id;
+        answer.not_run = states_not_run(answer, dialect_, message.attempt_id);
+        result.names_attempt = names_request(answer.fields, dialect_, message.attempt_id);
+        reusable_ = reusable_ && result.names_attempt;
         if (answer.not_run) connection_->record_refusal(message.attempt_id);
         return_to_pool(answer.fields);
         result.stream_complete = result.streamed;
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -23,7 +23,8 @@
     unsigned status = 0;
     boost::beast::http::fields fields;
     std::string body;
-    /// The endpoint states that it did not run the request (not-run header or status 421).
+    /// The endpoint states that it did not run the request: by the not-run header or status 421, in an answer
+    /// that names the request.
     bool not_run = false;
     /// @brief Whether a caller would take the status for a promise that nobody has made: that the request was
     /// not run. Such an answer must not be passed on.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -589,7 +589,7 @@
     add("lacewing_endpoint_failures_total", counted.failed_by_endpoint);
     add("lacewing_repeats_total", counted.repeats);
     add("lacewing_stated_not_run_total", counted.stated_not_run);
-    add("lacewing_stated_not_run_unnamed_total", counted.stated_not_run_unnamed);
+    add("lacewing_unproven_refusals_total", counted.unproven_refusals);
     add("lacewing_callers_left_total", counted.callers_left);
     add("lacewing_refused_by_shift_limit_total", counted.refused_by_shift_limit);
     add("lacewing_refused_by_endpoint_limits_total", counted.refused_by_endpoint_limits);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -247,7 +247,8 @@
         }
         const bool ran = !result.unsent && !(result.answer && result.answer->not_run);
         context.may_have_run = context.may_have_run || ran;
-        if (result.answer && result.answer->not_run) record_statement(context, result);
+        if (result.answer && (result.answer->not_run || result.answer->unproven_refusal()))
+            record_endpoint_refusal(context, result);
         if (result.outcome == attempt_end::abandoned) {
             const bool stopped = stop_ && monotonic_now() < context.deadline;
             co_return refuse(context, {error_kind::deadline_exceeded,
@@ -305,13 +306,13 @@
     return {error_kind::no_capacity, detail, choice.retry_after};
 }
 
-// Records an endpoint's statement that it did not run the request, which an error answer may pass on.
-void request_flow::record_statement(request_context& context, const endpoint_result& result) {
-    ++context.stated_not_run;
-    ++counters_.stated_not_run;
-    if (!result.names_attempt) ++counters_.stated_not_run_unnamed;
+// Records an endpoint's refusal. An error answer may pass on "not run" only if the endpoint has stated it.
+void request_flow::record_endpoint_refusal(request_context& context, const endpoint_result& result) {
+    const bool stated = result.answer->not_run;
+    if (stated) ++context.stated_not_run;
+    ++(stated ? counters_.stated_not_run : counters_.unproven_refusals);
     if (!acquire_log_line(log_level::info)) return;
-    write_log(log_level::info, "stated_not_run",
+    write_log(log_level::info, stated ? "stated_not_run" : "refusal_unproven",
               {{"id", context.attempt_id},
                {"endpoint", context.endpoint},
                {"status", result.answer->status},
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -42,9 +42,11 @@
     std::uint64_t sent_to_limited_endpoints = 0;
     /// Error answers by error_kind.
     std::array<std::uint64_t, 32> refused{};
-    /// Statements of endpoints that they did not run a request, and those among them that do not name it.
+    /// Statements of endpoints that they did not run a request.
     std::uint64_t stated_not_run = 0;
-    std::uint64_t stated_not_run_unnamed = 0;
+    /// Answers of endpoints with a status that promises "not run", without a statement that names the
+    /// request.
+    std::uint64_t unproven_refusals = 0;
     /// Upper bounds of the latency histogram, and the count of each bucket; the last one has no bound.
     static constexpr std::array<int, 10> latency_bounds_ms{25,  50,   100,  200,  400,
                                                            800, 1200, 2000, 4000, 8000};
@@ -136,7 +138,7 @@
                                                          const version_choice& version) const;
     [[nodiscard]] attempt_message make_attempt_message(const request_context& context,
                                                        const std::string& endpoint, time_ms time_left) const;
-    void record_statement(request_context& context, const endpoint_result& result);
+    void record_endpoint_refusal(request_context& context, const endpoint_result& result);
     [[nodiscard]] bool may_retry(const request_context& context, const endpoint_result& result) const;
     static caller_answer make_caller_answer(const endpoint_answer& answer);
     caller_answer refuse(const request_context& context, const refusal& cause);
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_attempt.h"
 #include "platform/dialect.h"
+#include "scripted_endpoint.h"
 #include "transport/monotonic_clock.h"
 
 #include <doctest/doctest.h>
@@ -12,6 +13,7 @@
 #include <vector>
 
 using namespace lacewing;
+using namespace lacewing::testing;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -24,79 +26,6 @@
                        status, answer_id, body.size(), body);
 }
 
-/// Endpoint that answers its n-th request, over all connections, with the n-th script.
-struct scripted_endpoint {
-    struct script {
-        std::string bytes;
-        /// Close the connection after the bytes.
-        bool close = false;
-        /// Reset the connection after the bytes.
-        bool reset = false;
-        /// Sent again and again after the bytes, until the other side closes or max_endless_bytes are sent.
-        std::string endless{};
-    };
-    static constexpr std::size_t max_endless_bytes = std::size_t{32} * 1024 * 1024;
-
-    scripted_endpoint(asio::io_context& context, std::vector<script> script_list)
-        : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}), scripts(std::move(script_list)) {
-        asio::co_spawn(context, accept(), asio::detached);
-    }
-
-    [[nodiscard]] std::string address() const {
-        return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
-    }
-
-    asio::awaitable<void> accept() {
-        for (;;) {
-            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-            ++connections;
-            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket)), asio::detached);
-        }
-    }
-
-    asio::awaitable<void> serve(tcp::socket socket) {
-        std::string received;
-        for (;;) {
-            boost::system::error_code failure;
-            const auto head =
-                co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n",
-                                                asio::redirect_error(asio::use_awaitable, failure));
-            if (failure || next >= scripts.size()) co_return;
-            received.erase(0, head);
-            const auto script = scripts[next++];
-            co_await asio::async_write(socket, asio::buffer(script.bytes),
-                                       asio::redirect_error(asio::use_awaitable, failure));
-            const auto piece = repeated(script.endless);
-            std::size_t sent = 0;
-            while (!piece.empty() && !failure && sent < max_endless_bytes) {
-                sent += co_await asio::async_write(socket, asio::buffer(piece),
-                                                   asio::redirect_error(asio::use_awaitable, failure));
-            }
-            endless_bytes += sent;
-            if (script.reset) {
-                // The destructor of a socket ignores the linger option, so the socket is closed explicitly.
-                socket.set_option(asio::socket_base::linger(true, 0), failure);
-                socket.close(failure);
-            }
-            if (script.close || script.reset) co_return;
-        }
-    }
-
-    // A few kilobytes of whole repetitions, so that sending them takes few calls.
-    static std::string repeated(const std::string& text) {
-        std::string made;
-        while (!text.empty() && made.size() < 4096)
-            made += text;
-        return made;
-    }
-
-    tcp::acceptor acceptor;
-    std::size_t endless_bytes = 0;
-    std::vector<script> scripts;
-    std::size_t next = 0;
-    int connections = 0;
-};
-
 struct attempt_fixture {
     explicit attempt_fixture(std::vector<scripted_endpoint::script> scripts)
         : pool(context.get_executor()), endpoint(context, std::move(scripts)) {}
@@ -294,6 +223,38 @@
     CHECK(fixture.pool.take_idle(fixture.endpoint.address(), monotonic_now(), "other") != nullptr);
 }
 
+// Guards against REFUSED (issue 39): a refusal that an endpoint writes before it has read the request, and
+// that names none, counts as a statement about that request.
+TEST_CASE("endpoint attempt: a refusal that names no request states that one was not run") {
+    for (const int status : {408, 421, 429, 503}) {
+        for (const auto* id_line : {"", "X-Lacewingplank-Attempt-Id: \r\n"}) {
+            CAPTURE(status);
+            CAPTURE(id_line);
+            const auto refusal = fmt::format(
+                "HTTP/1.1 {} No\r\n{}X-Lacewingplank-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno", status,
+                id_line);
+            attempt_fixture fixture({{refusal + answer("late")}, {answer("next")}});
+            const auto result = fixture.run();
+            CHECK(result.outcome == attempt_end::failed);
+            REQUIRE(result.answer);
+            CHECK_FALSE(result.answer->not_run);
+            CHECK(result.answer->unproven_refusal());
+            CHECK(fixture.run().answer->body == "next");
+            CHECK(fixture.endpoint.connections == 2);
+        }
+    }
+}
+
+TEST_CASE("endpoint attempt: a request without an id gets the late answer to another one") {
+    const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    attempt_fixture fixture({{answer("first")}, {unnamed + "own"}, {unnamed + "two"}});
+    CHECK(fixture.run().answer->body == "first");
+    fixture.attempt_id = "";
+    CHECK(fixture.run().answer->body == "own");
+    CHECK(fixture.run().answer->body == "two");
+    CHECK(fixture.endpoint.connections == 3);
+}
+
 // Guards against issue 28: an endpoint stops within the head of its answer, and callers get a short body that
 // looks whole.
 TEST_CASE("endpoint attempt: an answer that ends in its head counts as complete") {
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -296,7 +296,11 @@
 asio::awaitable<http_response> platform_stand_in::handle_endpoint_request(std::string id, std::string version,
                                                                           http_request request) {
     const auto& names = platform::dialect;
-    if (request[names.expected_endpoint] != id) co_return make_response(421, "{}");
+    if (request[names.expected_endpoint] != id) {
+        auto refusal = make_response(421, "{}");
+        refusal.set(names.attempt_id, request[names.attempt_id]);
+        co_return refusal;
+    }
     endpoint_word word;
     {
         const std::lock_guard lock(mutex_);
