Decide in one place whether "not run" may be promised

Cause: the rule stood in four places. A refusal of over 256 kB was passed on while it arrived, whatever had become of earlier sends of the request (false for an idempotent request that ran at the first endpoint). The other places set a flag after a send had ended, so a send in progress counted as one that had not run.

Change: send_ledger keeps account of the sends of one request. A send may have run until the opposite is proved: no byte was written, or its endpoint stated it. request_flow::refuse() makes every answer that promises "not run", and makes it 502 while a send is unresolved, with the log line promise_withheld. A long refusal is not passed on any more; its connection is closed, and the request is treated as after any other refusal.

The unit test of the long refusal fails before for 400, 421, 429 and 503 and passes after.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -237,6 +237,13 @@
                     result.reason = fmt::format("a long answer {} that does not say not run", answer.status);
                     co_return result;
                 }
+                // Whether the caller may be told so depends on the other sends as well.
+                if (answer.not_run) {
+                    result.outcome = attempt_end::not_run;
+                    result.names_attempt = true;
+                    result.answer = std::move(answer);
+                    co_return result;
+                }
                 const auto length = declared_length(parser);
                 result.streamed = true;
                 if (!co_await sink.begin(answer, length)) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -217,7 +217,7 @@
                 record_result(context, last->answer->status, "endpoint_failed", last->reason);
                 co_return make_caller_answer(*last->answer);
             }
-            if (context.may_have_run) {
+            if (context.sends.may_have_run()) {
                 co_return refuse(context,
                                  {error_kind::endpoint_failed, last ? last->reason : "no answer", {}});
             }
@@ -226,8 +226,14 @@
             co_return refuse(context, capacity_refusal(choice, repeat, query.left));
         }
         if (repeat) ++counters_.repeats;
+        context.sends.on_send();
         auto result = co_await attempt(context, query, choice, sink);
         if (!result.unsent) ++attempts_sent;
+        if (result.unsent) {
+            context.sends.on_unsent();
+        } else if (result.answer && result.answer->not_run) {
+            context.sends.on_stated_not_run();
+        }
         if (result.streamed) {
             caller_answer streamed;
             streamed.streamed = true;
@@ -245,8 +251,6 @@
             last = std::move(result);
             continue;
         }
-        const bool ran = !result.unsent && !(result.answer && result.answer->not_run);
-        context.may_have_run = context.may_have_run || ran;
         if (result.answer && (result.answer->not_run || result.answer->unproven_refusal()))
             record_endpoint_refusal(context, result);
         if (result.outcome == attempt_end::abandoned) {
@@ -265,7 +269,8 @@
             record_result(context, last->answer->status, "endpoint_failed", "the endpoint's own answer");
             co_return make_caller_answer(*last->answer);
         }
-        if (context.may_have_run) co_return refuse(context, {error_kind::endpoint_failed, last->reason, {}});
+        if (context.sends.may_have_run())
+            co_return refuse(context, {error_kind::endpoint_failed, last->reason, {}});
         co_return refuse(context, {error_kind::endpoint_refused, "the endpoint did not run the request",
                                    choice.retry_after});
     }
@@ -307,9 +312,8 @@
 }
 
 // Records an endpoint's refusal. An error answer may pass on "not run" only if the endpoint has stated it.
-void request_flow::record_endpoint_refusal(request_context& context, const endpoint_result& result) {
+void request_flow::record_endpoint_refusal(const request_context& context, const endpoint_result& result) {
     const bool stated = result.answer->not_run;
-    if (stated) ++context.stated_not_run;
     ++(stated ? counters_.stated_not_run : counters_.unproven_refusals);
     if (!acquire_log_line(log_level::info)) return;
     write_log(log_level::info, stated ? "stated_not_run" : "refusal_unproven",
@@ -510,7 +514,17 @@
     return reply;
 }
 
-caller_answer request_flow::refuse(const request_context& context, const refusal& cause) {
+// Makes the error answer. All answers of this process that promise "not run" are made here, and none is made
+// while a send may have run the request.
+caller_answer request_flow::refuse(const request_context& context, refusal cause) {
+    if (context.sends.may_have_run() && error_answer_for(cause.kind).effect == request_effect::not_run) {
+        log(log_level::error, "promise_withheld",
+            {{"id", context.attempt_id},
+             {"kind", error_answer_for(cause.kind).name},
+             {"detail", cause.detail}});
+        cause.kind = error_kind::endpoint_failed;
+        cause.retry_after = time_ms{0};
+    }
     const auto& row = error_answer_for(cause.kind);
     ++counters_.refused[static_cast<std::size_t>(cause.kind)];
     const bool not_run = row.effect == request_effect::not_run;
@@ -548,7 +562,7 @@
                {"service", context.service_name},
                {"endpoint", context.endpoint},
                {"tries", context.tried.size()},
-               {"stated_not_run", context.stated_not_run},
+               {"stated_not_run", context.sends.stated_not_run()},
                {"outcome", outcome},
                {"status", status},
                {"ms", duration.count},
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -6,6 +6,7 @@
 #include "coordination/endpoint_selector.h"
 #include "coordination/repeat_budget.h"
 #include "coordination/route_table.h"
+#include "coordination/send_ledger.h"
 #include "coordination/stop_schedule.h"
 #include "coordination/version_mover.h"
 #include "gateway/caller_server.h"
@@ -108,10 +109,8 @@
         bool warm = false;
         /// The request has taken a token of its account's rate.
         bool charged = false;
-        /// An endpoint may have run the request, so an error answer must not say "not run".
-        bool may_have_run = false;
-        /// Sends of which the endpoint stated that it did not run the request.
-        int stated_not_run = 0;
+        /// Decides whether an error answer may say "not run".
+        send_ledger sends;
     };
     struct refusal {
         error_kind kind;
@@ -138,10 +137,10 @@
                                                          const version_choice& version) const;
     [[nodiscard]] attempt_message make_attempt_message(const request_context& context,
                                                        const std::string& endpoint, time_ms time_left) const;
-    void record_endpoint_refusal(request_context& context, const endpoint_result& result);
+    void record_endpoint_refusal(const request_context& context, const endpoint_result& result);
     [[nodiscard]] bool may_retry(const request_context& context, const endpoint_result& result) const;
     static caller_answer make_caller_answer(const endpoint_answer& answer);
-    caller_answer refuse(const request_context& context, const refusal& cause);
+    caller_answer refuse(const request_context& context, refusal cause);
     void record_result(const request_context& context, unsigned status, std::string_view outcome,
                        std::string_view detail);
 
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -245,6 +245,25 @@
     }
 }
 
+// Guards against REFUSED (issue 39): a long refusal is passed on while it arrives, whatever became of earlier
+// sends of the request.
+TEST_CASE("endpoint attempt: a refusal that is too long to be buffered is passed on") {
+    const std::string body(2 * endpoint_attempt::max_buffered_answer_bytes, 'x');
+    for (const int status : {400, 421, 429, 503}) {
+        CAPTURE(status);
+        const auto refusal = fmt::format("HTTP/1.1 {} No\r\nX-Lacewingplank-Attempt-Id: {}\r\n"
+                                         "X-Lacewingplank-Not-Executed: 1\r\nContent-Length: {}\r\n\r\n{}",
+                                         status, id, body.size(), body);
+        attempt_fixture fixture({{refusal}, {answer("next")}});
+        const auto result = fixture.run();
+        CHECK(result.outcome == attempt_end::not_run);
+        CHECK_FALSE(result.streamed);
+        CHECK(fixture.streamed.empty());
+        CHECK(fixture.run().answer->body == "next");
+        CHECK(fixture.endpoint.connections == 2);
+    }
+}
+
 TEST_CASE("endpoint attempt: a request without an id gets the late answer to another one") {
     const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
     attempt_fixture fixture({{answer("first")}, {unnamed + "own"}, {unnamed + "two"}});
