Widen the soak of promises: more endpoints, slow ones, and short deadlines

With four endpoints most requests were refused without a send. Ten endpoints, one request in 26 that takes longer than its caller waits, and deadlines from 20 ms to 1.2 s.

--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -28,10 +28,10 @@
 
 namespace {
 
-header_list payment_headers(const std::string& id) {
+header_list payment_headers(const std::string& id, time_ms deadline = {2'000}) {
     const auto& names = platform::dialect;
     return {{std::string(names.attempt_id), id},
-            {std::string(names.deadline), "2000"},
+            {std::string(names.deadline), std::to_string(deadline.count)},
             {std::string(names.key), "secret"}};
 }
 
@@ -108,8 +108,10 @@
             constexpr std::array<std::size_t, 8> body_sizes{1, 1, 1, 100, 100, 3'000, 200'000, 700'000};
             const std::string body(body_sizes[random() % body_sizes.size()], 'b');
             const bool leaves = random() % 20 == 0;
-            const auto status = send(connection, static_cast<std::size_t>(&connection - kept.data()), id,
-                                     body, leaves ? time_ms{5} : time_ms{3'000});
+            const time_ms deadline{20 + static_cast<std::int64_t>(random() % 1'200)};
+            const auto text = request_text("POST", "/pay/x", payment_headers(id, deadline), body);
+            const auto vm = static_cast<std::size_t>(&connection - kept.data());
+            const auto status = send(connection, vm, text, id, leaves ? time_ms{5} : time_ms{3'000});
             if (promises_not_run(status)) std::this_thread::sleep_for(pause_after_refusal);
             const std::lock_guard lock(mutex_);
             statuses_[id] = status;
@@ -117,8 +119,8 @@
     }
 
     // Sends one payment; the connection is dropped unless it got a whole answer.
-    unsigned send(std::optional<raw_connection>& connection, std::size_t vm, const std::string& id,
-                  const std::string& body, time_ms patience) {
+    unsigned send(std::optional<raw_connection>& connection, std::size_t vm, const std::string& text,
+                  const std::string& id, time_ms patience) {
         try {
             if (!connection) connection.emplace(platform_.caller_address(vm));
         } catch (const std::runtime_error&) {
@@ -126,8 +128,7 @@
             return 0;
         }
         http_answer answer;
-        if (connection->send(request_text("POST", "/pay/x", payment_headers(id), body)))
-            answer = connection->receive(patience);
+        if (connection->send(text)) answer = connection->receive(patience);
         if (!answer.complete || answer.headers[boost::beast::http::field::connection] == "close")
             connection.reset();
         if (answer.status == 200 && answer.complete && answer.json()["request"].asString() != id)
@@ -327,7 +328,7 @@
 // with stops, pauses and kills of VMs. More seeds: LACEWING_PROMISE_RUNS, from LACEWING_PROMISE_FIRST_SEED.
 TEST_CASE("promise: a request that was refused runs, or runs twice, in random trouble") {
     constexpr std::size_t vm_count = 2;
-    constexpr std::size_t endpoint_count = 4;
+    constexpr std::size_t endpoint_count = 10;
     constexpr time_ms duration{4'000};
     const auto first = number_from_environment("LACEWING_PROMISE_FIRST_SEED", 1);
     const auto runs = number_from_environment("LACEWING_PROMISE_RUNS", 3);
@@ -336,14 +337,36 @@
         CAPTURE(seed);
         platform_stand_in platform(vm_count, time_ms{1'500});
         platform.put_object("config", "main", platform_stand_in::configuration(1, "secret", 0, {1'000}));
-        unreliable_endpoints endpoints(
-            platform.host(), seed,
-            {.conducts = {answers, answers, answers, answers, answers, answers, answers_twice, fails,
-                          answers_like_a_refusal, refuses, refuses, refuses, refuses_early, loses_answer,
-                          cuts_answer},
-             .repeated_refusals = 0.5,
-             .refusals_on_accept = 0.1,
-             .max_service_ms = 30});
+        unreliable_endpoints endpoints(platform.host(), seed,
+                                       {.conducts = {answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers,
+                                                     answers_twice,
+                                                     fails,
+                                                     answers_like_a_refusal,
+                                                     refuses,
+                                                     refuses,
+                                                     refuses,
+                                                     refuses,
+                                                     refuses,
+                                                     refuses_early,
+                                                     loses_answer,
+                                                     cuts_answer,
+                                                     is_slow},
+                                        .repeated_refusals = 0.5,
+                                        .refusals_on_accept = 0.05,
+                                        .max_service_ms = 30});
         random_trouble trouble(platform, endpoints, vm_count, seed);
         for (std::size_t i = 0; i < endpoint_count; ++i)
             trouble.add_endpoint();
--- a/tests/system/unreliable_endpoints.cpp
+++ b/tests/system/unreliable_endpoints.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::size_t max_head_bytes = std::size_t{16} * 1024;
+constexpr std::uint64_t slow_service_ms = 1'200;
 
 auto completion(error_code& failure) {
     return asio::redirect_error(asio::use_awaitable, failure);
@@ -225,15 +226,17 @@
         co_return co_await write(connection, refusal);
     }
     record_run(id);
-    if (faults_.max_service_ms > 0) {
-        const auto ms = draw(subject, "time") % static_cast<std::uint64_t>(faults_.max_service_ms);
-        asio::steady_timer timer(context_, std::chrono::milliseconds(ms));
-        co_await timer.async_wait(asio::use_awaitable);
-    }
+    std::uint64_t service_ms = 0;
+    if (faults_.max_service_ms > 0)
+        service_ms = draw(subject, "time") % static_cast<std::uint64_t>(faults_.max_service_ms);
+    if (conduct == endpoint_conduct::is_slow) service_ms = slow_service_ms;
+    asio::steady_timer timer(context_, std::chrono::milliseconds(service_ms));
+    co_await timer.async_wait(asio::use_awaitable);
     const auto body = fmt::format(R"({{"request":"{}"}})", id);
     const auto answer = answer_text(200, id, false, body);
     switch (conduct) {
     case endpoint_conduct::answers:
+    case endpoint_conduct::is_slow:
         co_return co_await write(connection, answer);
     case endpoint_conduct::answers_twice:
         co_return co_await write(connection, answer + answer);
--- a/tests/system/unreliable_endpoints.h
+++ b/tests/system/unreliable_endpoints.h
@@ -33,6 +33,8 @@
     loses_answer,
     /// Runs it and ends the answer within its head.
     cuts_answer,
+    /// Runs it and takes longer than any caller waits.
+    is_slow,
 };
 
 /// @brief How endpoints behave; shares are between 0 and 1.
