Bound what a connection keeps of bytes that are no answer

Cause: the body of an answer had a limit, and its head; what the parser keeps while it waits for the end of a line had none: a chunk extension, the size of a chunk, trailers. That holds for the store and other VMs (http_client), for endpoints and callers of the own interface, and for clients of http_server. Interim answers were read without end on the own interface, and http_client took one for the answer, so that the real one was read as the answer to the next call on the connection.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -157,7 +157,7 @@
     [[nodiscard]] bool keep_alive(const exchange& current) const;
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_connection_buffer_bytes};
     serve_state& state_;
     connection_registration registration_;
 };
@@ -233,7 +233,8 @@
     }
     if (failure == http::error::end_of_stream || failure == asio::error::connection_reset) co_return false;
     auto kind = error_kind::bad_request;
-    if (failure == http::error::header_limit) kind = error_kind::header_too_large;
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
+        kind = error_kind::header_too_large;
     if (failure == http::error::body_limit) kind = error_kind::body_too_large;
     if (expired) kind = error_kind::request_timeout;
     if (failure == http::error::partial_message || failure == asio::error::eof) co_return false;
@@ -474,6 +475,7 @@
 asio::awaitable<boost::system::error_code>
 read_answer_header(endpoint_connection& from, std::optional<answer_parser>& answer, bool head_request) {
     boost::system::error_code failure;
+    int interim_answers = -1;
     do {
         answer.emplace();
         answer->header_limit(max_answer_header_bytes);
@@ -482,6 +484,7 @@
         answer->skip(head_request);
         co_await http::async_read_header(from.stream, from.buffer, *answer,
                                          asio::redirect_error(asio::use_awaitable, failure));
+        if (++interim_answers > max_interim_answers) failure = http::error::buffer_overflow;
     } while (!failure && http::to_status_class(answer->get().result()) == http::status_class::informational);
     co_return failure;
 }
--- a/src/fakes/endpoint/endpoint_behaviour.cpp
+++ b/src/fakes/endpoint/endpoint_behaviour.cpp
@@ -13,13 +13,17 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, answer_fault>, 9> answer_fault_names{{
+constexpr std::array<std::pair<std::string_view, answer_fault>, 13> answer_fault_names{{
     {"none", answer_fault::none},
     {"reset_before_answer", answer_fault::reset_before_answer},
     {"reset_in_answer", answer_fault::reset_in_answer},
     {"truncated", answer_fault::truncated},
     {"truncated_head", answer_fault::truncated_head},
     {"endless", answer_fault::endless},
+    {"endless_interim_answers", answer_fault::endless_interim_answers},
+    {"endless_header", answer_fault::endless_header},
+    {"endless_chunk_extension", answer_fault::endless_chunk_extension},
+    {"endless_trailers", answer_fault::endless_trailers},
     {"wrong_length", answer_fault::wrong_length},
     {"late", answer_fault::late},
     {"repeat_previous", answer_fault::repeat_previous},
--- a/src/fakes/endpoint/endpoint_behaviour.h
+++ b/src/fakes/endpoint/endpoint_behaviour.h
@@ -23,6 +23,12 @@
     truncated_head,
     /// A body without a declared length that ends only when the connection does.
     endless,
+    /// Bytes that are no answer, until the connection ends: interim answers before the head, a header line, a
+    /// chunk extension, or trailers.
+    endless_interim_answers,
+    endless_header,
+    endless_chunk_extension,
+    endless_trailers,
     /// More bytes than the declared length: a second answer follows that nobody asked for.
     wrong_length,
     /// The answer is delayed.
--- a/src/fakes/endpoint/fake_endpoint.cpp
+++ b/src/fakes/endpoint/fake_endpoint.cpp
@@ -339,6 +339,30 @@
     co_return !failure && response.keep_alive();
 }
 
+/// Bytes that are no answer: a begin, and what follows it without end.
+struct endless_bytes {
+    std::string begin;
+    std::string repeated;
+};
+
+// Bytes of a fault that are no answer; nothing for other faults.
+std::optional<endless_bytes> endless_bytes_of(answer_fault fault, std::string_view attempt_tag) {
+    const auto head = fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n", attempt_header, attempt_tag);
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    switch (fault) {
+    case answer_fault::endless_interim_answers:
+        return endless_bytes{"", "HTTP/1.1 100 Continue\r\n\r\n"};
+    case answer_fault::endless_header:
+        return endless_bytes{head + "X-Filler: ", "x"};
+    case answer_fault::endless_chunk_extension:
+        return endless_bytes{chunked + "1;", "x"};
+    case answer_fault::endless_trailers:
+        return endless_bytes{chunked + "1\r\nx\r\n0\r\n", "X-Filler: x\r\n"};
+    default:
+        return std::nullopt;
+    }
+}
+
 // Sends the answer to an executed request with the configured fault.
 asio::awaitable<bool> fake_endpoint::send_damaged_answer(connection_ptr connection, http_response& response) {
     const auto fault = behaviour_.injected_answer_fault;
@@ -353,6 +377,12 @@
         const bool keep_open = co_await write_response(connection, response);
         co_return keep_open;
     }
+    if (const auto endless = endless_bytes_of(fault, response[attempt_header])) {
+        co_await asio::async_write(connection->socket, asio::buffer(endless->begin),
+                                   completion_token(failure));
+        co_await write_endlessly(connection, endless->repeated);
+        co_return false;
+    }
     response.prepare_payload();
     if (fault == answer_fault::endless) {
         response.erase(http::field::content_length);
@@ -368,14 +398,16 @@
     }
     co_await asio::async_write(connection->socket, asio::buffer(bytes), completion_token(failure));
     if (fault == answer_fault::endless && !failure) {
-        co_await write_endlessly(connection);
+        co_await write_endlessly(connection, "x");
     }
     if (fault == answer_fault::reset_in_answer) reset(connection->socket);
     co_return fault == answer_fault::wrong_length && !failure && response.keep_alive();
 }
 
-asio::awaitable<void> fake_endpoint::write_endlessly(connection_ptr connection) {
-    const std::string chunk(body_chunk_bytes, 'x');
+asio::awaitable<void> fake_endpoint::write_endlessly(connection_ptr connection, std::string repeated) {
+    std::string chunk;
+    while (chunk.size() < body_chunk_bytes)
+        chunk += repeated;
     error_code failure;
     while (!failure && acceptor_.is_open()) {
         co_await asio::async_write(connection->socket, asio::buffer(chunk), completion_token(failure));
--- a/src/fakes/endpoint/fake_endpoint.h
+++ b/src/fakes/endpoint/fake_endpoint.h
@@ -85,7 +85,7 @@
                                              execution_state state, bool keep_alive);
     boost::asio::awaitable<bool> send_damaged_answer(connection_ptr connection, http_response& response);
     boost::asio::awaitable<bool> write_response(connection_ptr connection, http_response& response);
-    boost::asio::awaitable<void> write_endlessly(connection_ptr connection);
+    boost::asio::awaitable<void> write_endlessly(connection_ptr connection, std::string repeated);
     [[nodiscard]] bool version_fault_active(const received_request& request) const;
     [[nodiscard]] time_ms service_time(const received_request& request) const;
     [[nodiscard]] double reported_load();
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view snapshot_path = "/snapshot/";
 // A peer in another region answers in about 120 ms.
 constexpr time_ms fetch_timeout{800};
+constexpr std::uint64_t max_snapshot_bytes = std::uint64_t{8} * 1024 * 1024;
 
 udp::endpoint datagram_address(const std::string& text) {
     const auto parsed = parse_socket_address(text);
@@ -65,7 +66,7 @@
 }
 
 asio::awaitable<std::string> peer_exchange::fetch_snapshot(std::string address, std::string kind) {
-    http_client client(context_.get_executor(), address);
+    http_client client(context_.get_executor(), address, {.max_response_bytes = max_snapshot_bytes});
     try {
         const auto answer =
             co_await client.request("GET", std::string(snapshot_path) + kind, {}, {}, fetch_timeout);
--- a/src/protocol/framing.h
+++ b/src/protocol/framing.h
@@ -11,6 +11,12 @@
 
 namespace lacewing {
 
+/// Bytes that a connection keeps before they are parsed: a head, a chunk header with its extension, or
+/// trailers. A peer that sends more without the end of a line is disconnected.
+inline constexpr std::size_t max_connection_buffer_bytes = std::size_t{128} * 1024;
+/// Interim (1xx) answers before the answer to a request; more end the connection.
+inline constexpr int max_interim_answers = 16;
+
 /// @brief Checks the headers that determine where a request ends and which host it is for.
 ///
 /// The only transfer coding accepted is exactly `chunked`. With any other one the end of the body is unknown,
--- a/src/transport/endpoint_connection_pool.h
+++ b/src/transport/endpoint_connection_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/framing.h"
 #include "state/time_ms.h"
 
 #include <utility>
@@ -32,7 +33,7 @@
     std::string address;
     boost::beast::tcp_stream stream;
     /// Bytes that were read and not yet parsed.
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_connection_buffer_bytes};
     /// Time of the last put_idle().
     time_ms idle_since;
     /// The connection has carried a request before, so bytes of an earlier answer may arrive on it.
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "protocol/framing.h"
 #include "transport/ip_address.h"
 #include "transport/reset_on_close.h"
 
@@ -33,10 +34,11 @@
     explicit pooled_connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_connection_buffer_bytes};
 };
 
 using connection_ptr = std::unique_ptr<pooled_connection>;
+using response_parser = http::response_parser<http::string_body>;
 
 } // namespace
 
@@ -102,11 +104,20 @@
         throw_failure(http_failure::timed_out, "sending the request", write_failure);
     }
     // A server may respond and close before it has read the whole body, so read even after a failed write.
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(options.max_response_bytes);
-    if (request.method() == http::verb::head) parser.skip(true);
+    std::optional<response_parser> read;
     error_code failure;
-    co_await http::async_read(connection->stream, connection->buffer, parser, await_with_error(failure));
+    int interim_answers = -1;
+    do {
+        read.emplace();
+        read->body_limit(options.max_response_bytes);
+        if (request.method() == http::verb::head) read->skip(true);
+        co_await http::async_read(connection->stream, connection->buffer, *read, await_with_error(failure));
+        if (++interim_answers > max_interim_answers) {
+            throw http_error(http_failure::malformed_answer,
+                             fmt::format("{}: more than {} interim answers", address, max_interim_answers));
+        }
+    } while (!failure && read->get().result_int() < 200);
+    auto& parser = *read;
     // What has silenced one connection may have silenced the pooled ones as well.
     if (failure == beast::error::timeout) idle.clear();
     if (failure) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_server.h"
 
+#include "protocol/framing.h"
 #include "transport/ip_address.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -82,7 +83,7 @@
 
     tcp::socket socket;
     asio::steady_timer timer;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_connection_buffer_bytes};
     std::uint64_t phase = 0;
     bool expired = false;
     /// Waiting for the first byte of a request.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -37,6 +37,15 @@
 
 } // namespace
 
+// Guards against a client that takes the memory of the process (issue 39).
+TEST_CASE("http server: a chunk extension or a trailer without end is buffered") {
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(std::size_t{1024} * 1024, 'x');
+    CHECK(status_line(head + "5;" + filler) == "HTTP/1.1 431 Request Header Fields Too Large");
+    CHECK(status_line(head + "5\r\nhello\r\n0\r\nX-Trailer: " + filler) ==
+          "HTTP/1.1 431 Request Header Fields Too Large");
+}
+
 // Guards against a client that opens a connection per request or returns the response to another request.
 TEST_CASE("http client reuses its connection and returns each response to its own request") {
     asio::io_context loop;
--- a/tests/system/bad_input_test.cpp
+++ b/tests/system/bad_input_test.cpp
@@ -81,6 +81,18 @@
     CHECK(system.execution_count() == before);
 }
 
+// Guards against a caller that takes the memory of a VM (issue 39).
+TEST_CASE("bad input: a chunk extension without end is buffered") {
+    auto& system = shared_deployment();
+    const auto before = system.execution_count();
+    raw_connection connection(system.caller_address(1));
+    connection.send(fmt::format("POST /r/balance/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n5;{}",
+                                system.office_key(), std::string(std::size_t{1024} * 1024, 'x')));
+    check_refused(connection.receive({5'000}), 400, "bad_request");
+    CHECK(system.execution_count() == before);
+}
+
 TEST_CASE("bad input: an incomplete header holds a connection open") {
     auto& system = shared_deployment();
     const auto before = system.execution_count();
--- /dev/null
+++ b/tests/system/endless_bytes_test.cpp
@@ -0,0 +1,171 @@
+// Guards against servers in trouble that send bytes that are no answer, without end: the VM that has called
+// them must neither keep the bytes nor lose the requests of other callers (LOST; issue 39).
+#include "deployment.h"
+#include "platform_stand_in.h"
+#include "unreliable_endpoints.h"
+
+#include "platform/dialect.h"
+#include "transport/monotonic_clock.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace lacewing;
+using namespace lacewing::testing;
+
+namespace {
+
+/// Memory of the smallest VM in the users' deployments.
+constexpr std::int64_t smallest_vm_kb = std::int64_t{160} * 1024;
+
+header_list caller_headers(const std::string& id) {
+    const auto& names = platform::dialect;
+    return {{std::string(names.attempt_id), id},
+            {std::string(names.deadline), "1000"},
+            {std::string(names.key), "secret"}};
+}
+
+/// What callers of two routes got in one run.
+struct call_counts {
+    std::atomic<int> answered{0};
+    std::atomic<int> failed{0};
+};
+
+// Calls one path from several threads until a time.
+std::vector<std::thread> call_until(const std::string& address, const std::string& path, std::size_t threads,
+                                    time_ms until, call_counts& counts) {
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < threads; ++i) {
+        callers.emplace_back([&counts, address, path, i, until] {
+            for (int n = 0; monotonic_now() < until; ++n) {
+                const auto id = fmt::format("{}-{}-{}", path, i, n);
+                const auto answer = send_request(address, "GET", path, caller_headers(id));
+                ++(answer.status == 200 && answer.complete ? counts.answered : counts.failed);
+            }
+        });
+    }
+    return callers;
+}
+
+std::string configuration_with_two_services() {
+    return R"({"version":"r1","routes":[)"
+           R"({"name":"sound","hostname":"lacewingplank","pathPrefix":"/sound/","routeType":"idempotent",)"
+           R"("timeout":"3000ms","targetLatency":"400ms","priority":1,"service":"sound","maxAttempts":1},)"
+           R"({"name":"faulty","hostname":"lacewingplank","pathPrefix":"/faulty/","routeType":"idempotent",)"
+           R"("timeout":"3000ms","targetLatency":"400ms","priority":1,"service":"faulty","maxAttempts":2}],)"
+           R"("services":[)"
+           R"({"name":"sound","healthPath":"/health","maxConnections":300,"warmup":"1s","warmupPerS":500},)"
+           R"({"name":"faulty","healthPath":"/health","maxConnections":300,"warmup":"1s","warmupPerS":500}],)"
+           R"("tenants":[{"name":"ward","apiKeys":["secret"],"ratePerS":0,"burst":0}]})";
+}
+
+} // namespace
+
+TEST_CASE("endless bytes: endpoints take the memory of a VM, or the requests of other callers") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", configuration_with_two_services());
+    unreliable_endpoints sound(platform.host(), 1, {});
+    unreliable_endpoints faulty(platform.host(), 1, {.conducts = {endpoint_conduct::sends_endless_bytes}});
+    for (int i = 0; i < 4; ++i) {
+        const auto id = fmt::format("sound-{}", i);
+        platform.register_endpoint(id, "sound", sound.open(id));
+    }
+    for (int i = 0; i < 40; ++i) {
+        const auto id = fmt::format("faulty-{}", i);
+        platform.register_endpoint(id, "faulty", faulty.open(id));
+    }
+    REQUIRE(platform.wait_all_ready());
+    const auto address = platform.caller_address(0);
+    REQUIRE(wait_until(
+        [&] { return send_request(address, "GET", "/sound/x", caller_headers("first")).status == 200; }));
+    const auto before_kb = platform.vm_process(0).status_kb("VmHWM");
+    call_counts sound_calls;
+    call_counts faulty_calls;
+    const auto until = monotonic_now() + time_ms{5'000};
+    auto callers = call_until(address, "/faulty/x", 60, until, faulty_calls);
+    auto others = call_until(address, "/sound/x", 4, until, sound_calls);
+    for (auto* group : {&callers, &others}) {
+        for (auto& caller : *group)
+            caller.join();
+    }
+    REQUIRE(platform.vm_process(0).running());
+    const auto peak_kb = platform.vm_process(0).status_kb("VmHWM");
+    MESSAGE("peak ", before_kb, " kB before, ", peak_kb, " kB after; ", faulty_calls.failed.load(),
+            " calls of faulty endpoints; of sound ones, ", sound_calls.answered.load(), " answered, ",
+            sound_calls.failed.load(), " failed");
+    CHECK(peak_kb < smallest_vm_kb);
+    CHECK(faulty_calls.failed > 0);
+    CHECK(sound_calls.answered > 0);
+    CHECK(sound_calls.failed == 0);
+}
+
+TEST_CASE("endless bytes: the store takes the memory of a VM, or its connection to the store") {
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key-1"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    int version = 1;
+    for (const auto& [begin, repeated] :
+         std::vector<std::array<std::string, 2>>{{"", "x"},
+                                                 {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+                                                 {status + "X-Filler: ", "x"},
+                                                 {chunked + "1;", "x"},
+                                                 {chunked, chunk},
+                                                 {chunked + "0\r\n", "X-Filler: x\r\n"}}) {
+        CAPTURE(begin);
+        platform.set_endless_store_answer(begin, repeated);
+        platform.silence_store_connections();
+        const auto until = monotonic_now() + time_ms{1'500};
+        wait_until([&] { return monotonic_now() >= until; });
+        platform.set_endless_store_answer("", "");
+        const auto key = fmt::format("key-{}", ++version);
+        platform.put_object("config", "main", platform_stand_in::configuration(version, key));
+        for (std::size_t vm = 0; vm < 2; ++vm) {
+            const auto& names = platform::dialect;
+            CHECK(wait_until([&] {
+                return send_request(platform.caller_address(vm), "GET", "/read/x",
+                                    {{std::string(names.attempt_id), "id"},
+                                     {std::string(names.deadline), "1000"},
+                                     {std::string(names.key), key}})
+                           .status == 200;
+            }));
+            REQUIRE(platform.vm_process(vm).running());
+            CHECK(platform.vm_process(vm).status_kb("VmHWM") < smallest_vm_kb);
+        }
+    }
+    MESSAGE("peak ", platform.vm_process(0).status_kb("VmHWM"), " kB");
+}
+
+TEST_CASE("endless bytes: endpoints of the own interface take the memory of a VM") {
+    deployment system(deployment_options{});
+    for (const auto* fault :
+         {"endless_interim_answers", "endless_header", "endless_chunk_extension", "endless_trailers"}) {
+        CAPTURE(fault);
+        system.set_endpoint_behaviour(fmt::format(R"({{"answer_fault":"{}"}})", fault));
+        std::vector<std::thread> callers;
+        std::atomic<int> answered{0};
+        for (int i = 0; i < 24; ++i) {
+            callers.emplace_back([&] {
+                const auto answer =
+                    system.send_to_vm(0, "/r/balance/x", system.office_key(), {{"X-Deadline-Ms", "1000"}});
+                if (answer.status == 200 && answer.complete) ++answered;
+            });
+        }
+        for (auto& caller : callers)
+            caller.join();
+        CHECK(answered == 0);
+        REQUIRE(system.vm_process(0).running());
+        CHECK(system.vm_process(0).status_kb("VmHWM") < smallest_vm_kb);
+        REQUIRE(system.reset_endpoint_behaviour());
+    }
+    MESSAGE("peak ", system.vm_process(0).status_kb("VmHWM"), " kB");
+}
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -48,6 +48,11 @@
     /// @brief Silences the connections to the store that are open now; new ones work.
     void silence_store_connections() { store_proxy_->silence(); }
 
+    /// @brief From now on, the store sends bytes without end in place of its answers; see silencing_proxy.
+    void set_endless_store_answer(const std::string& begin, const std::string& repeated) {
+        store_proxy_->set_endless_answer(begin, repeated);
+    }
+
     /// @brief Starts an endpoint in the zone north and registers it in the store.
     void add_endpoint(const std::string& id, const std::string& service, const std::string& version = "v1");
     /// @brief Registers an endpoint of the zone north that runs elsewhere.
--- a/tests/system/silencing_proxy.cpp
+++ b/tests/system/silencing_proxy.cpp
@@ -10,6 +10,13 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+// Bound for the memory of this machine, in case that the other side takes all bytes.
+constexpr std::size_t max_endless_bytes = std::size_t{256} * 1024 * 1024;
+
+} // namespace
+
 silencing_proxy::silencing_proxy(asio::io_context& context, const std::string& listen,
                                  const std::string& target)
     : context_(context), acceptor_(context, parse_socket_address(listen)),
@@ -50,6 +57,10 @@
         const auto count = co_await from.async_read_some(asio::buffer(buffer),
                                                          asio::redirect_error(asio::use_awaitable, failure));
         if (connection->silent) co_return;
+        if (to_server && !failure && !endless_piece_.empty()) {
+            co_await write_endless_answer(connection);
+            failure = asio::error::eof;
+        }
         if (!failure) {
             co_await asio::async_write(to, asio::buffer(buffer.data(), count),
                                        asio::redirect_error(asio::use_awaitable, failure));
@@ -61,6 +72,32 @@
     }
 }
 
+asio::awaitable<void> silencing_proxy::write_endless_answer(std::shared_ptr<link> connection) {
+    error_code failure;
+    const auto begin = endless_begin_;
+    const auto piece = endless_piece_;
+    co_await asio::async_write(connection->client, asio::buffer(begin),
+                               asio::redirect_error(asio::use_awaitable, failure));
+    for (std::size_t sent = 0; !failure && sent < max_endless_bytes;) {
+        sent += co_await asio::async_write(connection->client, asio::buffer(piece),
+                                           asio::redirect_error(asio::use_awaitable, failure));
+    }
+}
+
+void silencing_proxy::set_endless_answer(const std::string& begin, const std::string& repeated) {
+    constexpr std::size_t piece_bytes = 16'384;
+    std::string piece;
+    while (!repeated.empty() && piece.size() < piece_bytes)
+        piece += repeated;
+    std::promise<void> done;
+    asio::post(context_, [&] {
+        endless_begin_ = begin;
+        endless_piece_ = piece;
+        done.set_value();
+    });
+    done.get_future().get();
+}
+
 void silencing_proxy::silence() {
     std::promise<void> done;
     asio::post(context_, [&] {
--- a/tests/system/silencing_proxy.h
+++ b/tests/system/silencing_proxy.h
@@ -21,6 +21,11 @@
     /// @brief Silences all connections that are open now. May be called on any thread; returns when done.
     void silence();
 
+    /// @brief From now on, requests are answered with bytes without end instead of being passed on.
+    /// @param begin First bytes of each answer.
+    /// @param repeated What follows again and again; empty ends this.
+    void set_endless_answer(const std::string& begin, const std::string& repeated);
+
 private:
     struct link {
         explicit link(boost::asio::io_context& context) : client(context), server(context) {}
@@ -31,12 +36,15 @@
 
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<link> connection);
-    static boost::asio::awaitable<void> relay(std::shared_ptr<link> connection, bool to_server);
+    boost::asio::awaitable<void> relay(std::shared_ptr<link> connection, bool to_server);
+    boost::asio::awaitable<void> write_endless_answer(std::shared_ptr<link> connection);
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::endpoint target_;
     std::vector<std::shared_ptr<link>> links_;
+    std::string endless_begin_;
+    std::string endless_piece_;
 };
 
 } // namespace lacewing::testing
--- a/tests/system/unreliable_endpoints.cpp
+++ b/tests/system/unreliable_endpoints.cpp
@@ -138,6 +138,27 @@
     co_return !failure;
 }
 
+asio::awaitable<bool> unreliable_endpoints::write_endless_bytes(socket& connection, std::string attempt_id,
+                                                                std::uint64_t kind) {
+    const auto head = fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n", platform::dialect.attempt_id, attempt_id);
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::array<std::array<std::string, 2>, 7> kinds{{{"", "x"},
+                                                           {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+                                                           {head + "X-Filler: ", "x"},
+                                                           {head, "X-Filler: x\r\n"},
+                                                           {chunked + "1;", "x"},
+                                                           {chunked + "1\r\nx\r\n0\r\n", "X-Filler: x\r\n"},
+                                                           {head + "\r\n", "x"}}};
+    const auto& [begin, repeated] = kinds[kind % kinds.size()];
+    std::string piece;
+    while (piece.size() < max_head_bytes)
+        piece += repeated;
+    bool open = co_await write(connection, begin);
+    while (open)
+        open = co_await write(connection, piece);
+    co_return false;
+}
+
 asio::awaitable<void> unreliable_endpoints::accept(std::shared_ptr<listener> at) {
     for (;;) {
         error_code failure;
@@ -232,6 +253,8 @@
     if (conduct == endpoint_conduct::is_slow) service_ms = slow_service_ms;
     asio::steady_timer timer(context_, std::chrono::milliseconds(service_ms));
     co_await timer.async_wait(asio::use_awaitable);
+    if (conduct == endpoint_conduct::sends_endless_bytes)
+        co_return co_await write_endless_bytes(connection, id, draw(subject, "kind"));
     const auto body = fmt::format(R"({{"request":"{}"}})", id);
     const auto answer = answer_text(200, id, false, body);
     switch (conduct) {
--- a/tests/system/unreliable_endpoints.h
+++ b/tests/system/unreliable_endpoints.h
@@ -35,6 +35,8 @@
     cuts_answer,
     /// Runs it and takes longer than any caller waits.
     is_slow,
+    /// Runs it and sends bytes that are no answer, without end, until the caller closes.
+    sends_endless_bytes,
 };
 
 /// @brief How endpoints behave; shares are between 0 and 1.
@@ -84,6 +86,8 @@
     boost::asio::awaitable<bool> handle(socket& connection, const request_head& head, std::string& received,
                                         std::string& last_refusal);
     boost::asio::awaitable<bool> write(socket& connection, std::string_view text);
+    boost::asio::awaitable<bool> write_endless_bytes(socket& connection, std::string attempt_id,
+                                                     std::uint64_t kind);
     [[nodiscard]] std::uint64_t draw(std::string_view subject, std::string_view purpose) const;
     [[nodiscard]] bool happens(double share, std::string_view subject, std::string_view purpose) const;
     void record_run(const std::string& attempt_id);
