Believe a refusal on the own interface only if it names the attempt

Cause, of the same class as on the gateway: on a new connection, a 503 with X-Not-Run and without the tag of the attempt counted as a refusal of that attempt. An endpoint that writes it on accept and then runs the request made the VM answer not_run, or repeat the request at a second endpoint.

Change: such a refusal is a failure with unknown outcome. Tags are per send here, so copies of refusals never matched.

The fake endpoint gets the switch refuse_on_accept.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -525,6 +525,11 @@
     }
     lease.report_load(head["X-Load"]);
     if (head.result() == http::status::service_unavailable && head["X-Not-Run"] == "1") {
+        // A refusal that names no attempt may have been written before the request was read.
+        if (head.count(attempt_header) == 0) {
+            lease.finish(attempt_outcome::failure);
+            return attempt_failure{error_kind::endpoint_failed, "a refusal that names no attempt"};
+        }
         lease.finish(attempt_outcome::shed);
         return attempt_failure{error_kind::endpoint_refused, "the endpoint refused the request unexecuted"};
     }
--- a/src/fakes/endpoint/endpoint_behaviour.cpp
+++ b/src/fakes/endpoint/endpoint_behaviour.cpp
@@ -48,6 +48,8 @@
      [](endpoint_behaviour& b, const Json::Value& value) { b.cold_duration = time_ms{value.asInt64()}; }},
     {"cold_factor",
      [](endpoint_behaviour& b, const Json::Value& value) { b.cold_factor = value.asDouble(); }},
+    {"refuse_on_accept",
+     [](endpoint_behaviour& b, const Json::Value& value) { b.refuse_on_accept = value.asBool(); }},
     {"report_load", [](endpoint_behaviour& b, const Json::Value& value) { b.report_load = value.asBool(); }},
     {"load_lag_ms", [](endpoint_behaviour& b,
                        const Json::Value& value) { b.load_report_interval = time_ms{value.asInt64()}; }},
--- a/src/fakes/endpoint/endpoint_behaviour.h
+++ b/src/fakes/endpoint/endpoint_behaviour.h
@@ -66,6 +66,8 @@
     double cold_factor = 4;
     /// Whether answers carry the load in the header X-Load.
     bool report_load = true;
+    /// Writes a refusal that names no attempt on each new connection, before it has read a request.
+    bool refuse_on_accept = false;
     /// Shortest time between two updates of the reported load.
     time_ms load_report_interval{1000};
     /// Reported in place of the true load unless negative.
--- a/src/fakes/endpoint/fake_endpoint.cpp
+++ b/src/fakes/endpoint/fake_endpoint.cpp
@@ -146,6 +146,11 @@
 asio::awaitable<void> fake_endpoint::serve_connection(connection_ptr connection) {
     const auto self = shared_from_this();
     bool keep_open = true;
+    if (behaviour_.refuse_on_accept) {
+        auto refusal = make_response(503, R"({"error":"not run"})");
+        refusal.set("X-Not-Run", "1");
+        keep_open = co_await write_response(connection, refusal);
+    }
     while (keep_open && acceptor_.is_open()) {
         keep_open = co_await serve_request(connection);
     }
--- a/tests/system/answer_integrity_test.cpp
+++ b/tests/system/answer_integrity_test.cpp
@@ -214,6 +214,18 @@
     CHECK(system.reset_endpoint_behaviour());
 }
 
+// Guards against REFUSED (issue 39): an endpoint refuses before it has read a request, and runs that request.
+TEST_CASE("not run: a refusal that names no attempt counts for a request that is executed") {
+    auto& system = shared_deployment();
+    REQUIRE(system.reset_endpoint_behaviour());
+    system.set_endpoint_behaviour(R"({"refuse_on_accept":true})");
+    for (const std::string route : {"balance", "scans"}) {
+        const auto sent = send_many(system, route, "unnamed-" + route, 40, 4, {{"X-Deadline-Ms", "500"}});
+        check_answers(system, sent, route == "balance");
+    }
+    CHECK(system.reset_endpoint_behaviour());
+}
+
 TEST_CASE("not run: a non-idempotent request executes twice after an unknown outcome") {
     auto& system = shared_deployment();
     REQUIRE(system.reset_endpoint_behaviour());
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -522,7 +522,7 @@
 bool deployment::reset_endpoint_behaviour() {
     set_endpoint_behaviour(
         R"({"answer_fault":"none","answer_fraction":1,"draining":false,"service_ms":2,"slots":16,)"
-        R"("padding":0,"fail_fraction":0})");
+        R"("padding":0,"fail_fraction":0,"refuse_on_accept":false})");
     bool serving = true;
     for (std::size_t i = 0; i < vms_.size(); ++i)
         serving = serving && wait_serving(i);
