--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -51,7 +51,7 @@
     const std::string status = "HTTP/1.1 200 OK\r\n";
     const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
     const std::string whole = status + "Content-Length: 4\r\n\r\nnext";
-    for (const auto& [name, begin, endless] : std::vector<std::array<std::string, 3>>{
+    for (const auto& row : std::vector<std::array<std::string, 3>>{
              {"no protocol", "", "x"},
              {"status line", "HTTP/1.1 200 ", "O"},
              {"header value", status + "X-Filler: ", "x"},
@@ -64,9 +64,9 @@
              {"trailers", chunked + "0\r\n", "X-Filler: x\r\n"},
              {"chunks", chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n"},
              {"body until the end", status + "\r\n", "x"}}) {
-        CAPTURE(name);
+        CAPTURE(row[0]);
         asio::io_context loop;
-        scripted_endpoint server(loop, {{begin, false, false, endless}, {whole, true}});
+        scripted_endpoint server(loop, {{row[1], false, false, row[2]}, {whole, true}});
         http_client client(loop.get_executor(), server.address(),
                            {.max_response_bytes = std::uint64_t{1024} * 1024});
         const auto outcome = call(loop, client);
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -15,7 +15,6 @@
 using namespace lacewing;
 using namespace lacewing::testing;
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 namespace {
 
--- a/tests/system/endless_bytes_test.cpp
+++ b/tests/system/endless_bytes_test.cpp
@@ -114,15 +114,14 @@
     const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
     const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
     int version = 1;
-    for (const auto& [begin, repeated] :
-         std::vector<std::array<std::string, 2>>{{"", "x"},
-                                                 {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-                                                 {status + "X-Filler: ", "x"},
-                                                 {chunked + "1;", "x"},
-                                                 {chunked, chunk},
-                                                 {chunked + "0\r\n", "X-Filler: x\r\n"}}) {
-        CAPTURE(begin);
-        platform.set_endless_store_answer(begin, repeated);
+    for (const auto& row : std::vector<std::array<std::string, 2>>{{"", "x"},
+                                                                   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+                                                                   {status + "X-Filler: ", "x"},
+                                                                   {chunked + "1;", "x"},
+                                                                   {chunked, chunk},
+                                                                   {chunked + "0\r\n", "X-Filler: x\r\n"}}) {
+        CAPTURE(row[0]);
+        platform.set_endless_store_answer(row[0], row[1]);
         platform.silence_store_connections();
         const auto until = monotonic_now() + time_ms{1'500};
         wait_until([&] { return monotonic_now() >= until; });
@@ -153,7 +152,9 @@
         system.set_endpoint_behaviour(fmt::format(R"({{"answer_fault":"{}"}})", fault));
         std::vector<std::thread> callers;
         std::atomic<int> answered{0};
-        for (int i = 0; i < 24; ++i) {
+        constexpr std::size_t caller_count = 24;
+        callers.reserve(caller_count);
+        for (std::size_t i = 0; i < caller_count; ++i) {
             callers.emplace_back([&] {
                 const auto answer =
                     system.send_to_vm(0, "/r/balance/x", system.office_key(), {{"X-Deadline-Ms", "1000"}});
--- a/tests/system/unreliable_endpoints.cpp
+++ b/tests/system/unreliable_endpoints.cpp
@@ -154,8 +154,9 @@
     while (piece.size() < max_head_bytes)
         piece += repeated;
     bool open = co_await write(connection, begin);
-    while (open)
+    while (open) {
         open = co_await write(connection, piece);
+    }
     co_return false;
 }
 
@@ -177,8 +178,9 @@
     std::string last_refusal;
     const auto number = std::to_string(++accepted_);
     bool open = true;
-    if (happens(faults_.refusals_on_accept, number, "accept"))
+    if (happens(faults_.refusals_on_accept, number, "accept")) {
         open = co_await write(*connection, answer_text(503, {}, true, "{}"));
+    }
     while (open) {
         error_code failure;
         const auto bytes = co_await asio::async_read_until(
@@ -228,8 +230,7 @@
     received.erase(0, head.body_bytes);
     if (!last_refusal.empty() && conduct != endpoint_conduct::refuses_early &&
         happens(faults_.repeated_refusals, subject, "repeat")) {
-        const auto copy = last_refusal;
-        if (!co_await write(connection, copy)) co_return false;
+        if (!co_await write(connection, last_refusal)) co_return false;
     }
     if (misdirected) {
         {
@@ -237,14 +238,12 @@
             ++misdirected_;
         }
         last_refusal = answer_text(421, id, true, "{}");
-        const auto refusal = last_refusal;
-        co_return co_await write(connection, refusal);
+        co_return co_await write(connection, last_refusal);
     }
     if (conduct == endpoint_conduct::refuses_early) co_return true;
     if (conduct == endpoint_conduct::refuses) {
         last_refusal = answer_text(draw(subject, "status") % 2 == 0 ? 503 : 429, id, true, "{}");
-        const auto refusal = last_refusal;
-        co_return co_await write(connection, refusal);
+        co_return co_await write(connection, last_refusal);
     }
     record_run(id);
     std::uint64_t service_ms = 0;
@@ -253,8 +252,9 @@
     if (conduct == endpoint_conduct::is_slow) service_ms = slow_service_ms;
     asio::steady_timer timer(context_, std::chrono::milliseconds(service_ms));
     co_await timer.async_wait(asio::use_awaitable);
-    if (conduct == endpoint_conduct::sends_endless_bytes)
+    if (conduct == endpoint_conduct::sends_endless_bytes) {
         co_return co_await write_endless_bytes(connection, id, draw(subject, "kind"));
+    }
     const auto body = fmt::format(R"({{"request":"{}"}})", id);
     const auto answer = answer_text(200, id, false, body);
     switch (conduct) {
