--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -474,9 +474,8 @@
 // Reads the header of the answer and skips informational (1xx) ones.
 asio::awaitable<boost::system::error_code>
 read_answer_header(endpoint_connection& from, std::optional<answer_parser>& answer, bool head_request) {
-    boost::system::error_code failure;
-    int interim_answers = -1;
-    do {
+    for (int interim_answers = 0; interim_answers <= max_interim_answers; ++interim_answers) {
+        boost::system::error_code failure;
         answer.emplace();
         answer->header_limit(max_answer_header_bytes);
         // boost::none would mean no limit, but this version of Beast then rejects every Content-Length.
@@ -484,9 +483,10 @@
         answer->skip(head_request);
         co_await http::async_read_header(from.stream, from.buffer, *answer,
                                          asio::redirect_error(asio::use_awaitable, failure));
-        if (++interim_answers > max_interim_answers) failure = http::error::buffer_overflow;
-    } while (!failure && http::to_status_class(answer->get().result()) == http::status_class::informational);
-    co_return failure;
+        if (failure || http::to_status_class(answer->get().result()) != http::status_class::informational)
+            co_return failure;
+    }
+    co_return http::error::bad_status;
 }
 
 // Reads the start of the answer's body into the chunk; nothing when the connection failed.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -514,8 +514,8 @@
     return reply;
 }
 
-// Makes the error answer. All answers of this process that promise "not run" are made here, and none is made
-// while a send may have run the request.
+// Makes the error answer. Every promise of "not run" about a request that has been read is made here, and
+// none while a send may have run the request.
 caller_answer request_flow::refuse(const request_context& context, refusal cause) {
     if (context.sends.may_have_run() && error_answer_for(cause.kind).effect == request_effect::not_run) {
         log(log_level::error, "promise_withheld",
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -106,17 +106,15 @@
     // A server may respond and close before it has read the whole body, so read even after a failed write.
     std::optional<response_parser> read;
     error_code failure;
-    int interim_answers = -1;
-    do {
+    for (int interim_answers = 0; interim_answers <= max_interim_answers; ++interim_answers) {
         read.emplace();
         read->body_limit(options.max_response_bytes);
         if (request.method() == http::verb::head) read->skip(true);
         co_await http::async_read(connection->stream, connection->buffer, *read, await_with_error(failure));
-        if (++interim_answers > max_interim_answers) {
-            throw http_error(http_failure::malformed_answer,
-                             fmt::format("{}: more than {} interim answers", address, max_interim_answers));
-        }
-    } while (!failure && read->get().result_int() < 200);
+        if (failure || read->get().result_int() >= 200) break;
+    }
+    if (!failure && read->get().result_int() < 200)
+        throw_failure(http_failure::malformed_answer, "reading the response", http::error::bad_status);
     auto& parser = *read;
     // What has silenced one connection may have silenced the pooled ones as well.
     if (failure == beast::error::timeout) idle.clear();
