Let one account of sends decide on "not run" on both interfaces

Cause: the gateway decides by send_ledger, the own interface by which failure it happened to report last; the same idea stood twice. No false promise of that kind was seen there: this is for the class.

Change: the own interface keeps a send_ledger per request as well; an error answer that would promise "not run" while a send is unresolved becomes endpoint_failed, with the line promise_withheld. The field that tells whether an answer carries the request's id is called names_request everywhere.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -4,6 +4,7 @@
 
 #include "daemon/request_path.h"
 
+#include "coordination/send_ledger.h"
 #include "daemon/lookup_answer.h"
 #include "protocol/caller_http.h"
 #include "protocol/framing.h"
@@ -110,14 +111,27 @@
     bool answer_started = false;
     // Value of attempt_header in the last attempt.
     std::string attempt_tag;
+    // Decides whether an error answer may say "not run".
+    send_ledger sends;
 };
 
 // Why one attempt at an endpoint gave no answer to forward.
 struct attempt_failure {
     error_kind kind;
     std::string detail;
+    // The endpoint states that it did not run the request.
+    bool stated_not_run = false;
 };
 
+// Replaces a failure that promises "not run" while a send may have run the request.
+void withhold_unproven_promise(const exchange& current, attempt_failure& failure) {
+    const auto& row = error_answer_for(failure.kind);
+    if (!current.sends.may_have_run() || row.effect != request_effect::not_run) return;
+    log(log_level::error, "promise_withheld",
+        {{"id", current.request_id}, {"kind", row.name}, {"detail", failure.detail}});
+    failure.kind = error_kind::endpoint_failed;
+}
+
 // Serves one caller connection.
 class caller_session {
 public:
@@ -192,6 +206,7 @@
         co_return false;
     }
     if (failure) {
+        withhold_unproven_promise(current, *failure);
         state_.record(current.identity, failure->kind, monotonic_now() - current.received);
         if (current.answer_started) co_return false;
         co_await write_error(current, failure->kind, failure->detail);
@@ -374,6 +389,7 @@
         if (!failure)
             co_return state_.record(current.identity, std::nullopt, monotonic_now() - current.received);
         const bool not_run = error_answer_for(failure->kind).effect == request_effect::not_run;
+        if (failure->stated_not_run) current.sends.on_stated_not_run();
         // An earlier attempt that may have run is what the caller must hear of, even if a later one did not
         // run.
         if (!not_run || !reported) reported = failure;
@@ -403,6 +419,7 @@
     }
     lease.close_on_expiry(connection->stream);
     current.id_claim.before_send();
+    current.sends.on_send();
     failure = co_await send_request(current, *connection);
     if (failure) {
         lease.finish(failure->kind == error_kind::upload_aborted ? attempt_outcome::neutral
@@ -531,7 +548,8 @@
             return attempt_failure{error_kind::endpoint_failed, "a refusal that names no attempt"};
         }
         lease.finish(attempt_outcome::shed);
-        return attempt_failure{error_kind::endpoint_refused, "the endpoint refused the request unexecuted"};
+        return attempt_failure{error_kind::endpoint_refused, "the endpoint refused the request unexecuted",
+                               true};
     }
     if (answer.need_eof()) {
         // Without a length, the end of the answer looks like a broken connection.
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -60,7 +60,7 @@
 }
 
 // Whether an answer names the request that it belongs to.
-bool names_request(const http::fields& fields, const caller_dialect& dialect, std::string_view attempt_id) {
+bool has_attempt_id(const http::fields& fields, const caller_dialect& dialect, std::string_view attempt_id) {
     return !attempt_id.empty() && fields[dialect.attempt_id] == attempt_id;
 }
 
@@ -68,7 +68,7 @@
 // written before the request was read.
 bool states_not_run(const endpoint_answer& answer, const caller_dialect& dialect,
                     std::string_view attempt_id) {
-    if (!names_request(answer.fields, dialect, attempt_id)) return false;
+    if (!has_attempt_id(answer.fields, dialect, attempt_id)) return false;
     return answer.fields.count(dialect.not_run) > 0 || answer.status == 421;
 }
 
@@ -240,7 +240,7 @@
                 // Whether the caller may be told so depends on the other sends as well.
                 if (answer.not_run) {
                     result.outcome = attempt_end::not_run;
-                    result.names_attempt = true;
+                    result.names_request = true;
                     result.answer = std::move(answer);
                     co_return result;
                 }
@@ -284,8 +284,8 @@
         answer.fields = std::move(parser.get().base());
         answer.body = std::move(parser.get().body());
         answer.not_run = states_not_run(answer, dialect_, message.attempt_id);
-        result.names_attempt = names_request(answer.fields, dialect_, message.attempt_id);
-        reusable_ = reusable_ && result.names_attempt;
+        result.names_request = has_attempt_id(answer.fields, dialect_, message.attempt_id);
+        reusable_ = reusable_ && result.names_request;
         if (answer.not_run) connection_->record_refusal(message.attempt_id);
         return_to_pool(answer.fields);
         result.stream_complete = result.streamed;
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -71,8 +71,8 @@
     bool stream_complete = false;
     /// Bytes of the answer's body that were streamed.
     std::size_t streamed_bytes = 0;
-    /// The answer names the attempt that it belongs to.
-    bool names_attempt = false;
+    /// The answer carries the id of the request.
+    bool names_request = false;
     /// The request was sent on a connection that had carried none before.
     bool new_connection = false;
     /// Cause of a failure, for logs and error answers.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -320,7 +320,7 @@
               {{"id", context.attempt_id},
                {"endpoint", context.endpoint},
                {"status", result.answer->status},
-               {"names_request", result.names_attempt},
+               {"names_request", result.names_request},
                {"new_connection", result.new_connection}});
 }
 
