--- a/tests/system/endless_bytes_test.cpp
+++ b/tests/system/endless_bytes_test.cpp
@@ -4,7 +4,10 @@
 #include "platform_stand_in.h"
 #include "unreliable_endpoints.h"
 
+#include "coordination/vm_report.h"
 #include "platform/dialect.h"
+#include "protocol/report_codec.h"
+#include "transport/ip_address.h"
 #include "transport/monotonic_clock.h"
 
 #include <doctest/doctest.h>
@@ -12,8 +15,10 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -82,11 +87,13 @@
 
 // Calls sound endpoints of a VM beside faulty ones that send bytes without end.
 // Returns the peak memory of the VM in kB.
-std::int64_t call_beside_faulty_endpoints(call_counts& sound_calls) {
+std::int64_t call_beside_faulty_endpoints(call_counts& sound_calls, int endless_pause_ms = 0) {
     platform_stand_in platform(1);
     platform.put_object("config", "main", configuration_with_two_services());
     unreliable_endpoints sound(platform.host(), 1, {});
-    unreliable_endpoints faulty(platform.host(), 1, {.conducts = {endpoint_conduct::sends_endless_bytes}});
+    unreliable_endpoints faulty(
+        platform.host(), 1,
+        {.conducts = {endpoint_conduct::sends_endless_bytes}, .endless_pause_ms = endless_pause_ms});
     for (int i = 0; i < 4; ++i) {
         const auto id = fmt::format("sound-{}", i);
         platform.register_endpoint(id, "sound", sound.open(id));
@@ -119,6 +126,21 @@
     return peak_kb;
 }
 
+// Report of a VM that knows newer objects than the store has, so that other VMs fetch them from it.
+vm_report report_of_newer_objects(std::uint64_t number, const std::string& peer_address) {
+    vm_report report;
+    report.vm = vm_name{fmt::format("in-trouble-{}", number)};
+    report.incarnation = incarnation_id{number};
+    report.zone = zone_name{"south"};
+    report.region = region_name{"east"};
+    report.peer_address = peer_address;
+    report.caller_address = peer_address;
+    report.ready = true;
+    for (const auto* kind : {"config", "servers", "rollouts", "evacuations", "entryvms"})
+        report.revisions[kind] = 1'000'000;
+    return report;
+}
+
 // Raises the limit of open files of this process and of those that it starts, as far as it may.
 void allow_many_files() {
     rlimit limit{};
@@ -135,6 +157,14 @@
     CHECK(sound_calls.failed == 0);
 }
 
+TEST_CASE(
+    "endless bytes: slow bytes of endpoints take the memory of a VM, or the requests of other callers") {
+    call_counts sound_calls;
+    constexpr int pause_ms = 2;
+    CHECK(call_beside_faulty_endpoints(sound_calls, pause_ms) < smallest_vm_kb);
+    CHECK(sound_calls.failed == 0);
+}
+
 TEST_CASE("endless bytes: callers of sound endpoints are refused beside faulty ones") {
     call_counts sound_calls;
     call_beside_faulty_endpoints(sound_calls);
@@ -180,6 +210,46 @@
     MESSAGE("peak ", platform.vm_process(0).status_kb("VmHWM"), " kB");
 }
 
+TEST_CASE("endless bytes: another VM takes the memory of a VM that fetches from it") {
+    platform_stand_in platform(1);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "secret"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    const auto before_kb = platform.vm_process(0).status_kb("VmHWM");
+    // A request to another VM names no endpoint, so the process without an id takes it. The kind of bytes
+    // depends on the seed.
+    constexpr std::uint64_t vm_count = 12;
+    std::vector<std::unique_ptr<unreliable_endpoints>> others;
+    std::vector<vm_report> reports;
+    for (std::uint64_t i = 1; i <= vm_count; ++i) {
+        others.push_back(std::make_unique<unreliable_endpoints>(
+            platform.host(), i, endpoint_faults{.conducts = {endpoint_conduct::sends_endless_bytes}}));
+        reports.push_back(report_of_newer_objects(i, others.back()->open("")));
+    }
+    boost::asio::io_context context;
+    boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+    const auto peer = parse_socket_address(platform.peer_address(0));
+    const auto until = monotonic_now() + time_ms{8'000};
+    while (monotonic_now() < until) {
+        for (auto& report : reports) {
+            ++report.sequence;
+            socket.send_to(boost::asio::buffer(encode_report(report)), {peer.address(), peer.port()});
+        }
+        // The VM fetches from whichever report comes first.
+        std::rotate(reports.begin(), reports.begin() + 1, reports.end());
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    REQUIRE(platform.vm_process(0).running());
+    int fetches = 0;
+    for (const auto& other : others)
+        fetches += other->runs()[""];
+    const auto peak_kb = platform.vm_process(0).status_kb("VmHWM");
+    MESSAGE("peak ", before_kb, " kB before, ", peak_kb, " kB after ", fetches, " fetches");
+    CHECK(peak_kb < smallest_vm_kb);
+    CHECK(fetches > 0);
+    CHECK(send_request(platform.caller_address(0), "GET", "/read/x", caller_headers("r")).status == 200);
+}
+
 // Callers are not known yet by their key while they send the heads and chunk headers of their requests.
 TEST_CASE("endless bytes: many callers that leave a chunk header unfinished take the memory of a VM") {
     constexpr std::size_t caller_count = 2'500;
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -94,6 +94,7 @@
 
     [[nodiscard]] std::string caller_address(std::size_t vm) const { return address(vm, caller_port_offset); }
     [[nodiscard]] std::string ready_address(std::size_t vm) const { return address(vm, ready_port_offset); }
+    [[nodiscard]] std::string peer_address(std::size_t vm) const { return address(vm, peer_port_offset); }
     [[nodiscard]] std::string lookup_address(std::size_t vm) const { return address(vm, lookup_port_offset); }
     child_process& vm_process(std::size_t index) { return *vms_.at(index); }
     void start_vm(std::size_t index);
--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -28,6 +28,7 @@
 
 namespace {
 
+// Headers of a payment with the key that the configuration of these tests has.
 header_list payment_headers(const std::string& id, time_ms deadline = {2'000}) {
     const auto& names = platform::dialect;
     return {{std::string(names.attempt_id), id},
@@ -35,6 +36,7 @@
             {std::string(names.key), "secret"}};
 }
 
+// Whether callers take a status for the promise that the request has not run and never will.
 bool promises_not_run(unsigned status) {
     constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
     return std::find(promises.begin(), promises.end(), status) != promises.end();
@@ -48,6 +50,7 @@
     int run_twice = 0;
 };
 
+// Joins what callers were told with what endpoints ran.
 promise_summary summarize(const std::map<std::string, unsigned>& statuses,
                           const std::map<std::string, int>& runs) {
     promise_summary summary;
@@ -98,6 +101,7 @@
     [[nodiscard]] int foreign_answers() const { return foreign_answers_; }
 
 private:
+    // Sends one payment after the other until stop().
     void pay(std::uint64_t seed, std::size_t caller) {
         std::mt19937_64 random(seed * 1000 + caller);
         std::vector<std::optional<raw_connection>> kept(vm_count_);
@@ -190,6 +194,7 @@
 
     std::string next_id() { return fmt::format("e-{}", ++processes_); }
 
+    // Ends what is due and begins one piece of trouble.
     void step() {
         const auto now = monotonic_now();
         std::erase_if(lapsing_, [&](const lapsing_entry& entry) {
@@ -252,6 +257,23 @@
     int processes_ = 0;
 };
 
+// Endpoints that mostly answer, and have every other conduct now and then.
+endpoint_faults mixed_faults() {
+    using enum endpoint_conduct;
+    constexpr std::size_t answering = 14;
+    constexpr std::size_t refusing = 5;
+    endpoint_faults faults;
+    faults.conducts.assign(answering, answers);
+    faults.conducts.insert(faults.conducts.end(), refusing, refuses);
+    for (const auto conduct :
+         {answers_twice, fails, answers_like_a_refusal, refuses_early, loses_answer, cuts_answer, is_slow})
+        faults.conducts.push_back(conduct);
+    faults.repeated_refusals = 0.5;
+    faults.refusals_on_accept = 0.05;
+    faults.max_service_ms = 30;
+    return faults;
+}
+
 // Prints what the VMs logged of each request that got a false promise.
 void print_log_lines(platform_stand_in& platform, std::size_t vm_count,
                      const std::map<std::string, unsigned>& statuses,
@@ -295,6 +317,7 @@
                 send_request(platform.caller_address(0), "POST", "/pay/x", payment_headers(id), "b").status;
         }
     }
+    REQUIRE(wait_until([&] { return endpoints.in_progress() == 0; }));
     CHECK(endpoints.misdirected() > 0);
     const auto summary = summarize(statuses, endpoints.runs());
     CHECK(summary.answered > 0);
@@ -332,41 +355,11 @@
     constexpr time_ms duration{4'000};
     const auto first = number_from_environment("LACEWING_PROMISE_FIRST_SEED", 1);
     const auto runs = number_from_environment("LACEWING_PROMISE_RUNS", 3);
-    using enum endpoint_conduct;
     for (auto seed = first; seed < first + runs; ++seed) {
         CAPTURE(seed);
         platform_stand_in platform(vm_count, time_ms{1'500});
         platform.put_object("config", "main", platform_stand_in::configuration(1, "secret", 0, {1'000}));
-        unreliable_endpoints endpoints(platform.host(), seed,
-                                       {.conducts = {answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers,
-                                                     answers_twice,
-                                                     fails,
-                                                     answers_like_a_refusal,
-                                                     refuses,
-                                                     refuses,
-                                                     refuses,
-                                                     refuses,
-                                                     refuses,
-                                                     refuses_early,
-                                                     loses_answer,
-                                                     cuts_answer,
-                                                     is_slow},
-                                        .repeated_refusals = 0.5,
-                                        .refusals_on_accept = 0.05,
-                                        .max_service_ms = 30});
+        unreliable_endpoints endpoints(platform.host(), seed, mixed_faults());
         random_trouble trouble(platform, endpoints, vm_count, seed);
         for (std::size_t i = 0; i < endpoint_count; ++i)
             trouble.add_endpoint();
--- a/tests/system/silencing_proxy.h
+++ b/tests/system/silencing_proxy.h
@@ -11,8 +11,9 @@
 
 namespace lacewing::testing {
 
-/// @brief Passes connections on to a server and can silence them: open connections then carry nothing more
-/// and are not closed, while new ones work. Must be used on the thread of its context, but for silence().
+/// @brief Passes connections on to a server, and can put it in trouble: silence() makes open connections
+/// carry nothing more without closing them, set_endless_answer() answers in place of the server. Must be used
+/// on the thread of its context, but for these two functions.
 class silencing_proxy {
 public:
     /// @param listen, target Addresses "ip:port".
--- a/tests/system/unreliable_endpoints.cpp
+++ b/tests/system/unreliable_endpoints.cpp
@@ -39,6 +39,7 @@
     return {};
 }
 
+// Text of an answer; without an id line if the id is empty.
 std::string answer_text(unsigned status, std::string_view attempt_id, bool not_run, std::string_view body) {
     const auto& names = platform::dialect;
     std::string text = fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n", status, body.size());
@@ -138,6 +139,7 @@
     co_return !failure;
 }
 
+// Writes one kind of bytes that are no answer until the caller closes.
 asio::awaitable<bool> unreliable_endpoints::write_endless_bytes(socket& connection, std::string attempt_id,
                                                                 std::uint64_t kind) {
     const auto head = fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n", platform::dialect.attempt_id, attempt_id);
@@ -150,12 +152,16 @@
                                                            {chunked + "1\r\nx\r\n0\r\n", "X-Filler: x\r\n"},
                                                            {head + "\r\n", "x"}}};
     const auto& [begin, repeated] = kinds[kind % kinds.size()];
-    std::string piece;
-    while (piece.size() < max_head_bytes)
+    std::string piece = repeated;
+    while (faults_.endless_pause_ms == 0 && piece.size() < max_head_bytes)
         piece += repeated;
     bool open = co_await write(connection, begin);
+    asio::steady_timer pause(context_);
     while (open) {
         open = co_await write(connection, piece);
+        if (faults_.endless_pause_ms == 0) continue;
+        pause.expires_after(std::chrono::milliseconds(faults_.endless_pause_ms));
+        co_await pause.async_wait(asio::use_awaitable);
     }
     co_return false;
 }
@@ -172,6 +178,7 @@
     }
 }
 
+// Serves the requests of one connection in order.
 asio::awaitable<void> unreliable_endpoints::serve(std::shared_ptr<listener> at,
                                                   std::shared_ptr<socket> connection) {
     std::string received;
--- a/tests/system/unreliable_endpoints.h
+++ b/tests/system/unreliable_endpoints.h
@@ -49,6 +49,8 @@
     double refusals_on_accept = 0;
     /// Longest time for running a request, in milliseconds.
     int max_service_ms = 0;
+    /// Pause after each repetition of endless bytes, in milliseconds; 0 for as fast as the caller reads.
+    int endless_pause_ms = 0;
 };
 
 /// @brief Endpoint processes with faults, on addresses that successive processes share. Keeps a record of
@@ -88,7 +90,9 @@
     boost::asio::awaitable<bool> write(socket& connection, std::string_view text);
     boost::asio::awaitable<bool> write_endless_bytes(socket& connection, std::string attempt_id,
                                                      std::uint64_t kind);
+    /// Random number that depends on the seed, a subject such as a request, and what it is for.
     [[nodiscard]] std::uint64_t draw(std::string_view subject, std::string_view purpose) const;
+    /// Whether something happens to a subject, with a share of all subjects.
     [[nodiscard]] bool happens(double share, std::string_view subject, std::string_view purpose) const;
     void record_run(const std::string& attempt_id);
 
