Log the age of reports, the decisions on shifts and the way of a configuration

Reports carry the time of the sender's clock; report_delay_meter derives from it how long they wait. No decision changes.

--- a/src/coordination/region_shift_limiter.cpp
+++ b/src/coordination/region_shift_limiter.cpp
@@ -39,15 +39,22 @@
     item.counts[region] += requests;
 }
 
+// Shares of less than a whole window say little: at the start of traffic all requests fit into the nearest
+// region.
+std::int64_t region_shift_limiter::later_window(time_ms now) const {
+    return std::max(bucket_number(now) - buckets_per_window + 1,
+                    first_bucket_ + std::int64_t{buckets_per_window});
+}
+
 bool region_shift_limiter::allows(time_ms now, std::uint32_t region,
                                   std::span<const region_capacity> capacities) {
     const auto number = bucket_number(now);
-    // Shares of less than a whole window say little: at the start of traffic all requests fit into the
-    // nearest region.
-    const auto middle =
-        std::max(number - buckets_per_window + 1, first_bucket_ + std::int64_t{buckets_per_window});
+    const auto middle = later_window(now);
     const auto before = sum(middle - buckets_per_window, middle - 1);
-    if (number < middle || total_of(before) < min_requests) return true;
+    if (number < middle || total_of(before) < min_requests) {
+        ++decisions_.without_history;
+        return true;
+    }
     const auto current = sum(middle, number);
     // A region keeps the part of its earlier share that its remaining endpoints can take.
     const auto kept_requests = [&before](const region_capacity& capacity) {
@@ -64,6 +71,7 @@
     }
     if (usable_slots <= 0) return true;
     const double lost_requests = total_of(before) - kept_total;
+    if (lost_requests > 0) ++decisions_.with_failed_slots;
     double shift = 0;
     double shift_without = 0;
     for (const auto& capacity : capacities) {
@@ -75,13 +83,38 @@
         shift += std::max(0.0, (count + added) / (current_total + 1) - reference);
         if (current_total > 0) shift_without += std::max(0.0, count / current_total - reference);
     }
-    if (current_total > 0 && shift < shift_without) return true;
+    if (current_total > 0 && shift < shift_without) {
+        ++decisions_.closer;
+        return true;
+    }
     const double left = max_shift_ * used_fraction + slack_requests / (current_total + 1) - shift;
-    if (left <= 0 || reporters_.empty()) return left > 0;
     // Part of a window's requests that the VMs of the region send before they know of each other's.
     constexpr double unknown_share =
         static_cast<double>(report_delay.count) / static_cast<double>(window.count);
-    return std::uniform_real_distribution<double>(0, unknown_share)(random_) < left;
+    const bool within_limit =
+        left > 0 && (reporters_.empty() ||
+                     std::uniform_real_distribution<double>(0, unknown_share)(random_) < left);
+    ++(within_limit ? decisions_.within_limit : decisions_.refused);
+    return within_limit;
+}
+
+region_shift_view region_shift_limiter::take_view(time_ms now) {
+    const auto middle = later_window(now);
+    const auto before = sum(middle - buckets_per_window, middle - 1);
+    const auto current = sum(middle, bucket_number(now));
+    region_shift_view view;
+    view.requests_before = total_of(before);
+    view.requests_now = total_of(current);
+    if (view.requests_before > 0 && view.requests_now > 0) {
+        for (const auto& [region, count] : current) {
+            view.shift += std::max(0.0, count / view.requests_now -
+                                            count_of(before, region) / view.requests_before);
+        }
+    }
+    view.decisions = decisions_;
+    view.report_age_ms = report_delays_.mean_ms();
+    view.longest_report_age = report_delays_.take_longest();
+    return view;
 }
 
 void region_shift_limiter::on_send(time_ms now, std::uint32_t region) {
@@ -90,6 +123,7 @@
 }
 
 void region_shift_limiter::on_report(time_ms now, const vm_report& report) {
+    report_delays_.on_report(now, report);
     send_totals totals;
     for (const auto& sent : report.region_sends)
         totals[sent.region] = sent.total;
--- a/src/coordination/region_shift_limiter.h
+++ b/src/coordination/region_shift_limiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/report_delay_meter.h"
 #include "coordination/vm_report.h"
 #include "state/ids.h"
 #include "state/time_ms.h"
@@ -26,6 +27,30 @@
     double failed_slots = 0;
 };
 
+/// @brief Decisions of a region_shift_limiter by their reason, since its start.
+struct region_shift_decisions {
+    /// Too few requests in the earlier window to compare with.
+    std::uint64_t without_history = 0;
+    /// The request brings the shares closer to each other.
+    std::uint64_t closer = 0;
+    std::uint64_t within_limit = 0;
+    std::uint64_t refused = 0;
+    /// Requests of the earlier window whose endpoints have failed were given to other regions.
+    std::uint64_t with_failed_slots = 0;
+};
+
+/// @brief What a region_shift_limiter knows at one moment, for logs.
+struct region_shift_view {
+    /// Requests in the earlier and the later window, and the largest share that moved.
+    double requests_before = 0;
+    double requests_now = 0;
+    double shift = 0;
+    region_shift_decisions decisions;
+    /// Mean and longest age of what other VMs report.
+    double report_age_ms = 0;
+    time_ms longest_report_age{0};
+};
+
 /// @brief Limits how fast the requests of one region move between the regions that serve them.
 ///
 /// The VMs of one region report how many requests they have sent to each region, and each VM compares the
@@ -66,6 +91,11 @@
     void on_send(time_ms now, std::uint32_t region);
     /// @brief Records the requests of another VM of this region since its last report.
     void on_report(time_ms now, const vm_report& report);
+    [[nodiscard]] const region_shift_decisions& decisions() const { return decisions_; }
+    /// @brief Mean age of what other VMs report, in milliseconds.
+    [[nodiscard]] double report_age_ms() const { return report_delays_.mean_ms(); }
+    /// @brief Describes the limiter and begins a new measurement of the longest report age.
+    [[nodiscard]] region_shift_view take_view(time_ms now);
     /// @brief Adds the totals of this VM to its report.
     void fill(vm_report& report) const;
 
@@ -90,6 +120,8 @@
         send_totals totals;
     };
 
+    /// First bucket of the later of the two windows.
+    [[nodiscard]] std::int64_t later_window(time_ms now) const;
     static std::int64_t bucket_number(time_ms now) { return now.count / bucket_length.count; }
     [[nodiscard]] region_counts sum(std::int64_t first, std::int64_t last) const;
     void add(std::int64_t number, std::uint32_t region, double requests);
@@ -103,6 +135,8 @@
     std::int64_t first_bucket_ = 0;
     send_totals own_totals_;
     std::unordered_map<std::string, reporter> reporters_;
+    report_delay_meter report_delays_;
+    region_shift_decisions decisions_;
 };
 
 } // namespace lacewing
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -95,6 +95,8 @@
     incarnation_id incarnation;
     /// Number of the report since the start of the process; 0 if it has none.
     std::uint64_t sequence = 0;
+    /// Time of the sender's clock; comparable only within one process.
+    time_ms made_at{0};
     /// The report holds zone, region and addresses. Most reports omit them, because they never change within
     /// a process.
     bool has_identity = true;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -137,8 +137,11 @@
     peers_ = std::make_unique<peer_exchange>(
         context_, settings.peer_listen, [this](const vm_report& report) { on_report(report); },
         [this](const std::string& kind) -> std::optional<std::string> {
-            if (!mirror_.complete_revision(kind) || !snapshot_budget_.may_send(monotonic_now()))
+            if (!mirror_.complete_revision(kind)) return std::nullopt;
+            if (!snapshot_budget_.may_send(monotonic_now())) {
+                log(log_level::info, "snapshot_refused", {{"kind", kind}, {"reason", "link budget used up"}});
                 return std::nullopt;
+            }
             auto text = mirror_.snapshot(kind);
             snapshot_budget_.on_sent(text.size());
             return text;
@@ -199,7 +202,7 @@
 void gateway::apply(const mirror_change& change) {
     revisions_changed_ = monotonic_now();
     try {
-        if (change.kind == platform::configuration_kind) apply_configuration();
+        if (change.kind == platform::configuration_kind) apply_configuration(change.source);
         if (change.kind == platform::endpoint_kind) apply_endpoints(change);
         if (change.kind == platform::move_kind) apply_moves();
         if (change.kind == platform::drain_kind) apply_drains();
@@ -210,7 +213,7 @@
 }
 
 // Puts a newer configuration into force; an older or invalid one is ignored.
-void gateway::apply_configuration() {
+void gateway::apply_configuration(change_source source) {
     const auto& objects = mirror_.objects(std::string(platform::configuration_kind));
     const auto found = objects.find(std::string(platform::configuration_name));
     if (found == objects.end()) return;
@@ -223,7 +226,9 @@
         flow_.set_routes(
             std::make_shared<route_table>(std::make_shared<service_configuration>(std::move(made))));
         log(log_level::info, "configuration_applied",
-            {{"version", version}, {"revision", found->second["metadata"]["revision"].asUInt64()}});
+            {{"version", version},
+             {"revision", found->second["metadata"]["revision"].asUInt64()},
+             {"by", source == change_source::store ? "store" : "other_vm"}});
     } catch (const config_error& problem) {
         log(log_level::error, "configuration_rejected",
             {{"field", problem.field()}, {"reason", problem.reason()}});
@@ -329,6 +334,7 @@
 
 void gateway::on_report(const vm_report& report) {
     const auto now = monotonic_now();
+    ++reports_received_;
     // Datagrams may overtake each other and be duplicated.
     if (fleet_.outdated(report)) {
         ++outdated_reports_;
@@ -384,6 +390,7 @@
 vm_report gateway::make_report(bool full, report_audience audience) {
     auto made = fleet_.self();
     made.sequence = ++report_sequence_;
+    made.made_at = monotonic_now();
     made.has_identity = full;
     made.ready = ready();
     made.leaving = leaving_;
@@ -474,6 +481,7 @@
             if (!fleet_view::alive(member, now)) registry_.on_report(now, name, {});
         }
         if (flow_.routes() == nullptr) continue;
+        log_shifts(now);
         std::vector<std::string> services;
         for (const auto& [name, service] : flow_.routes()->configuration().services)
             services.push_back(name);
@@ -483,6 +491,25 @@
     }
 }
 
+// Logs what the limit on shifts between regions is based on, while requests come.
+void gateway::log_shifts(time_ms now) {
+    const auto view = selector_.shift_limiter().take_view(now);
+    if (view.requests_now == 0) return;
+    log(log_level::info, "region_shift",
+        {{"requests_before", view.requests_before},
+         {"requests_now", view.requests_now},
+         {"shift", fmt::format("{:.3f}", view.shift)},
+         {"without_history", view.decisions.without_history},
+         {"closer", view.decisions.closer},
+         {"within_limit", view.decisions.within_limit},
+         {"refused", view.decisions.refused},
+         {"with_failed_slots", view.decisions.with_failed_slots},
+         {"report_age_ms", fmt::format("{:.0f}", view.report_age_ms)},
+         {"longest_report_age_ms", view.longest_report_age.count},
+         {"reports", reports_received_},
+         {"cpu_ms", process_cpu_time().count}});
+}
+
 asio::awaitable<void> gateway::write_move(move_write write) {
     const auto status = platform::encode_move_status(write.order);
     log(log_level::info, "move_declared",
@@ -613,7 +640,16 @@
     add("lacewing_request_ms_count", cumulative);
     add("lacewing_store_calls_total", store_.calls());
     add("lacewing_peer_bytes_sent_total", peers_->bytes_sent());
+    add("lacewing_reports_received_total", reports_received_);
     add("lacewing_outdated_reports_total", outdated_reports_);
+    add("lacewing_cpu_ms_total", process_cpu_time().count);
+    const auto& shifts = selector_.shift_limiter().decisions();
+    add("lacewing_shift_decisions_without_history_total", shifts.without_history);
+    add("lacewing_shift_decisions_closer_total", shifts.closer);
+    add("lacewing_shift_decisions_within_limit_total", shifts.within_limit);
+    add("lacewing_shift_decisions_refused_total", shifts.refused);
+    add("lacewing_shift_decisions_with_failed_slots_total", shifts.with_failed_slots);
+    add("lacewing_region_report_age_ms", selector_.shift_limiter().report_age_ms());
     add("lacewing_endpoints", registry_.size());
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
     add("lacewing_caller_connections", callers_.connections());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,7 +41,7 @@
 
 private:
     void apply(const mirror_change& change);
-    void apply_configuration();
+    void apply_configuration(change_source source);
     void apply_endpoints(const mirror_change& change);
     void apply_moves();
     void apply_drains();
@@ -59,6 +59,7 @@
     boost::asio::awaitable<void> write_move(move_write write);
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> run_maintenance();
+    void log_shifts(time_ms now);
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<http_response> lookup(http_request request);
     boost::asio::awaitable<http_response> readiness(http_request request);
@@ -96,6 +97,7 @@
     std::uint64_t report_count_ = 0;
     // Last vm_report::sequence of this VM.
     std::uint64_t report_sequence_ = 0;
+    std::uint64_t reports_received_ = 0;
     // Reports of other VMs that were dropped because a later one had arrived.
     std::uint64_t outdated_reports_ = 0;
     // How late the event loop handles events, as last measured; 0 when it is small.
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -106,7 +106,7 @@
             auto changes = copy.apply_list(std::move(page));
             must_list = false;
             if (changes.applied) {
-                publish(kind, std::move(changes));
+                publish(kind, std::move(changes), change_source::store);
                 continue;
             }
             log(log_level::warn, "store_list_outdated",
@@ -116,15 +116,15 @@
             const bool any_events = !page.entries.empty();
             auto changes = copy.apply_events(page);
             if (!any_events) continue;
-            publish(kind, std::move(changes));
+            publish(kind, std::move(changes), change_source::store);
             co_await wait_random(event_batch_pause, event_batch_pause);
         }
     }
 }
 
-void store_mirror::publish(const std::string& kind, object_changes changes) {
-    on_change_(
-        {kind, std::move(changes.changed), std::move(changes.removed), lapsed_return_by(monotonic_now())});
+void store_mirror::publish(const std::string& kind, object_changes changes, change_source source) {
+    on_change_({kind, std::move(changes.changed), std::move(changes.removed),
+                lapsed_return_by(monotonic_now()), source});
 }
 
 void store_mirror::on_success(time_ms now) {
@@ -180,7 +180,7 @@
 bool store_mirror::apply_snapshot(const std::string& kind, std::string_view text) {
     auto changes = kinds_.at(kind).apply_snapshot(text);
     if (!changes.applied) return false;
-    publish(kind, std::move(changes));
+    publish(kind, std::move(changes), change_source::other_vm);
     return true;
 }
 
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -21,6 +21,9 @@
 
 namespace lacewing {
 
+/// @brief Where a change of the stored objects was learned.
+enum class change_source : std::uint8_t { store, other_vm };
+
 /// @brief Names of the objects of one kind that were changed or removed.
 struct mirror_change {
     std::string kind;
@@ -29,6 +32,7 @@
     /// Set when the store was unavailable until lately: removed registrations may have lapsed only because
     /// they could not be renewed, and then are back by this time.
     std::optional<time_ms> lapsed_return_by;
+    change_source source = change_source::store;
 };
 
 /// @brief Kind of objects to mirror.
@@ -81,7 +85,7 @@
     boost::asio::awaitable<void> wait_random(time_ms min_wait, time_ms max_wait);
     [[nodiscard]] time_ms watch_wait(const std::string& kind);
     [[nodiscard]] boost::asio::awaitable<platform::page_result> fetch(std::string kind, bool must_list);
-    void publish(const std::string& kind, object_changes changes);
+    void publish(const std::string& kind, object_changes changes, change_source source);
     void on_success(time_ms now);
     void on_failure(time_ms now, const std::string& kind, const std::string& reason);
     [[nodiscard]] std::optional<time_ms> lapsed_return_by(time_ms now) const;
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -276,6 +276,7 @@
     params["vm"] = report.vm.value;
     params["inc"] = to_hex(report.incarnation);
     params["seq"] = Json::UInt64(report.sequence);
+    params["at"] = Json::Int64(report.made_at.count);
     if (report.has_identity) {
         params["zone"] = report.zone.value;
         params["region"] = report.region.value;
@@ -316,6 +317,7 @@
         report.region = {params["region"].asString()};
         report.incarnation = incarnation_from_hex(params["inc"].asString());
         report.sequence = params["seq"].asUInt64();
+        report.made_at = {params["at"].asInt64()};
         report.peer_address = params["peer"].asString();
         report.caller_address = params["caller"].asString();
         if (report.has_identity && !is_socket_address(report.peer_address))
