--- a/tests/account_limiter_test.cpp
+++ b/tests/account_limiter_test.cpp
@@ -4,7 +4,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <limits>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -203,3 +206,54 @@
         limiter.refund("ward");
     }
 }
+
+namespace {
+
+// Time in microseconds that a VM takes for one report of another one, in a fleet of that many others, each
+// with requests of the same accounts. The least of several rounds, because other processes share the machine.
+double report_cost_us(std::size_t others) {
+    constexpr std::size_t accounts = 16;
+    std::vector<service_account> configured(accounts, limited_account());
+    for (std::size_t i = 0; i < accounts; ++i)
+        configured[i].name = {"account-" + std::to_string(i)};
+    account_limiter limiter(true);
+    time_ms now{1'000'000};
+    limiter.configure(now, configured);
+    limiter.set_fleet(others + 1, others + 1, true);
+    std::vector<vm_report> reports(others);
+    for (std::size_t i = 0; i < others; ++i) {
+        reports[i].vm = {"vm-" + std::to_string(i)};
+        reports[i].incarnation = incarnation_id{i + 1};
+        for (const auto& account : configured)
+            reports[i].usage.push_back({account.name.value, {}});
+    }
+    double least = std::numeric_limits<double>::max();
+    for (int round = 0; round < 8; ++round) {
+        for (auto& report : reports) {
+            for (auto& [account, usage] : report.usage) {
+                ++usage.asked;
+                ++usage.admitted;
+            }
+        }
+        const auto begin = std::chrono::steady_clock::now();
+        for (const auto& report : reports)
+            limiter.on_report(now, report);
+        const std::chrono::duration<double, std::micro> taken = std::chrono::steady_clock::now() - begin;
+        // In the first rounds, rates are measured for the first time.
+        if (round >= 2) least = std::min(least, taken.count() / static_cast<double>(others));
+        // All others are silent for a part of the time, as between their full reports.
+        now += time_ms{900};
+        limiter.ask(now, configured[0].name.value);
+    }
+    return least;
+}
+
+} // namespace
+
+TEST_CASE("account limiter: the cost of a report grows with the number of VMs") {
+    const double small_fleet = report_cost_us(30);
+    const double large_fleet = report_cost_us(300);
+    MESSAGE("microseconds a report: " << small_fleet << " with 30 other VMs, " << large_fleet << " with 300");
+    // Ten times as many VMs, and the same work for each; the factor is for the processor's caches.
+    CHECK(large_fleet <= 2 * small_fleet);
+}
--- a/tests/endpoint_fleet.h
+++ b/tests/endpoint_fleet.h
@@ -190,6 +190,7 @@
             for (auto& item : servers)
                 advance(item);
             if (now.count % 100 == 0) report();
+            deliver_late();
         }
     }
 
@@ -287,15 +288,29 @@
                 if (to == from || vms[to]->paused || vms[to]->cut_off) continue;
                 if (!same_region && !far_report) continue;
                 if (report_loss > 0 && std::bernoulli_distribution(report_loss)(random)) continue;
-                deliver(*vms[to], same_region ? near_report : *far_report, same_region);
+                const auto& message = same_region ? near_report : *far_report;
+                if (report_delay > time_ms{0}) {
+                    late_reports.emplace(now + report_delay, late_report{to, same_region, message});
+                } else {
+                    deliver(*vms[to], message, same_region);
+                }
             }
         }
     }
 
+    void deliver_late() {
+        while (!late_reports.empty() && late_reports.begin()->first <= now) {
+            const auto& due = late_reports.begin()->second;
+            deliver(*vms[due.to], due.message, due.same_region);
+            late_reports.erase(late_reports.begin());
+        }
+    }
+
     [[nodiscard]] vm_report make_report(std::size_t from, report_audience audience) {
         vm_report made;
         made.vm = {"vm-" + std::to_string(from)};
         made.incarnation = incarnation_id{vms[from]->incarnation};
+        made.made_at = now;
         vms[from]->registry.fill(now, made, audience,
                                  now.count % (audience == report_audience::same_region ? 1000 : 900) == 0);
         vms[from]->registry.clear_unreported(audience);
@@ -318,6 +333,14 @@
     std::multimap<time_ms, std::pair<std::size_t, std::size_t>> late_registrations;
     /// Share of the reports that are lost.
     double report_loss = 0;
+    /// Time between the sending of a report and its reading.
+    time_ms report_delay{0};
+    struct late_report {
+        std::size_t to = 0;
+        bool same_region = false;
+        vm_report message;
+    };
+    std::multimap<time_ms, late_report> late_reports;
     host_route route;
     std::unordered_map<std::string, std::string> zones;
     std::uint64_t processes = 0;
--- a/tests/region_shift_limiter_test.cpp
+++ b/tests/region_shift_limiter_test.cpp
@@ -83,16 +83,17 @@
 
 // Checks the limit at the start of traffic, in a rush and after endpoints have joined.
 void check_shifts(region_short_of_slots& fleet) {
+    const auto begin = fleet.now;
     // 180 slots and 250 ms: 720 warm requests a second, of which 120 in the first region.
     fleet.run(time_ms{8000}, 150);
-    const double shift_at_start = fleet.largest_shift(time_ms{0});
+    const double shift_at_start = fleet.largest_shift(begin);
     fleet.run(time_ms{6000}, 240);
-    const double shift_in_rush = fleet.largest_shift(time_ms{6000});
+    const double shift_in_rush = fleet.largest_shift(begin + time_ms{6000});
     fleet.run(time_ms{6000}, 60);
     for (int i = 0; i < 20; ++i)
         fleet.add_server(0);
     fleet.run(time_ms{6000}, 200);
-    const double shift_with_joined = fleet.largest_shift(time_ms{14'000});
+    const double shift_with_joined = fleet.largest_shift(begin + time_ms{14'000});
     MESSAGE("start " << shift_at_start << ", rush " << shift_in_rush << ", joined " << shift_with_joined
                      << "; answered " << fleet.answered << ", in goal " << fleet.in_goal << " of "
                      << fleet.asked);
@@ -242,6 +243,42 @@
     }
 }
 
+// A VM short of processor time reads the reports of the others late.
+TEST_CASE("region short of slots: VMs that know each other's requests late exceed the limit") {
+    for (const std::int64_t delay_ms : {200, 400, 800}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            CAPTURE(delay_ms);
+            CAPTURE(seed);
+            region_short_of_slots fleet(10, max_shift, seed, false);
+            // Reports are read at once until the traffic begins.
+            fleet.run(time_ms{2000}, 0);
+            fleet.report_delay = time_ms{delay_ms};
+            check_shifts(fleet);
+        }
+    }
+}
+
+// An endpoint that refuses a request has not run it, so the request has not changed its region.
+TEST_CASE("region shift: a request that was refused counts for the region that refused it") {
+    endpoint_fleet fleet({{1, 1, 1}, 1, max_shift, 1});
+    auto& vm = *fleet.vms[0];
+    const auto request = fleet.request_for(1);
+    const auto at_home = vm.registry.find("0");
+    const auto elsewhere = vm.registry.find("1");
+    time_ms now{0};
+    for (; now < time_ms{4000}; now += time_ms{20}) {
+        vm.selector.on_send(now, *at_home, request, nullptr);
+        // Half of the requests are refused at home and run in another region.
+        if (now.count % 40 != 0) continue;
+        vm.selector.on_end(now, *at_home, request, now, false, attempt_end::not_run, nullptr);
+        vm.selector.on_send(now, *elsewhere, request, nullptr);
+    }
+    const auto counted = vm.selector.shift_limiter().take_view(now);
+    CHECK(counted.requests_before == 100);
+    // The last bucket of 250 ms has just begun.
+    CHECK(counted.requests_now == 87);
+}
+
 TEST_CASE("region short of slots: a VM that starts sends by its first guess") {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         CAPTURE(seed);
