Count a request for the region that runs it

Cause: endpoint_selector counted each send for the limit on shifts. A request that an endpoint refuses (503) or that finds no connection, and that runs elsewhere, counted in both regions; by the users' rule it counts where it runs.

A send that was not run is taken back.

--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -413,6 +413,8 @@
     if (found != endpoint.in_flight.end()) endpoint.in_flight.erase(found);
     decay(now, endpoint);
     if (outcome == attempt_end::unreachable) endpoint.limit.on_unsent();
+    const bool not_run = outcome == attempt_end::unreachable || outcome == attempt_end::not_run;
+    if (not_run && !region_restricted(request)) shift_limiter_.on_not_run(started, endpoint.region_tag);
     if (outcome == attempt_end::abandoned) return;
     const bool failed = outcome != attempt_end::answered;
     const double failure_weight = outcome == attempt_end::not_run ? 0.5 : failed ? 1.0 : 0.0;
