--- a/src/coordination/account_limiter.h
+++ b/src/coordination/account_limiter.h
@@ -55,8 +55,7 @@
 
 private:
     struct account_bucket {
-        explicit account_bucket(time_ms now, double level)
-            : tokens(now, level), demand(now), peers(now) {}
+        explicit account_bucket(time_ms now, double level) : tokens(now, level), demand(now), peers(now) {}
         fleet_token_bucket tokens;
         /// Totals of this VM.
         rate_usage own;
--- a/src/coordination/region_shift_limiter.cpp
+++ b/src/coordination/region_shift_limiter.cpp
@@ -22,13 +22,6 @@
 
 } // namespace
 
-region_shift_limiter::region_shift_limiter(double max_shift, std::uint64_t seed) : max_shift_(max_shift) {
-    std::mt19937_64 random(seed);
-    std::uniform_real_distribution<double> position(0, 1);
-    share_rounding_ = position(random);
-    limit_rounding_ = position(random);
-}
-
 region_shift_limiter::region_counts region_shift_limiter::sum(const history& counted, std::int64_t first,
                                                               std::int64_t last) {
     region_counts total;
@@ -102,6 +95,16 @@
     return total;
 }
 
+// Draws the positions of the rounding. The number of requests so far enters, so VMs with equal seeds differ.
+void region_shift_limiter::draw_rounding() {
+    std::uint64_t sent = 0;
+    for (const auto& [region, total] : own_totals_)
+        sent += total.sent;
+    std::mt19937_64 random(seed_ + sent);
+    std::uniform_real_distribution<double> position(0, 1);
+    rounding_ = {position(random), position(random)};
+}
+
 // Divides a number of requests by the references. Each request stands for a point of the unit interval, with
 // equal distances; it is due to the region in whose part of the interval it lies.
 void region_shift_limiter::round_due(double requests) {
@@ -112,7 +115,7 @@
         const bool is_last = &region == &allotments_.back();
         const double points =
             is_last ? requests
-                    : std::clamp(std::ceil(part_end * requests - share_rounding_), divided, requests);
+                    : std::clamp(std::ceil(part_end * requests - rounding_->shares), divided, requests);
         region.due = points - divided;
         divided = points;
     }
@@ -127,6 +130,7 @@
         ++decisions_.without_history;
         return true;
     }
+    if (!rounding_) draw_rounding();
     find_references(before, capacities);
     const double requests = count_own(middle, number, capacities) + 1;
     round_due(requests);
@@ -138,7 +142,7 @@
         if (chosen) below_share = sent < due;
         moved += std::max(0.0, sent + (chosen ? 1 : 0) - due);
     }
-    const bool within_limit = moved <= max_shift_ * used_fraction * requests + limit_rounding_;
+    const bool within_limit = moved <= max_shift_ * used_fraction * requests + rounding_->limit;
     ++(below_share ? decisions_.below_share : within_limit ? decisions_.within_limit : decisions_.refused);
     return below_share || within_limit;
 }
--- a/src/coordination/region_shift_limiter.h
+++ b/src/coordination/region_shift_limiter.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -58,21 +59,23 @@
 /// of each other's latest requests. A region whose endpoints have failed gives up its share at once.
 ///
 /// A VM has few requests in a window, so the earlier shares and the limit are rounded to whole requests, up
-/// or down by a random number of the VM; over the VMs of a region the rounding cancels out.
+/// or down by random numbers that each VM draws once; over the VMs of a region the rounding
+/// cancels out.
 class region_shift_limiter {
 public:
     /// Length of the two windows that are compared.
     static constexpr time_ms window{2000};
     /// Part of the limit that is used. The rest covers the rounding, and that reports tell of the earlier
     /// window a little late.
-    static constexpr double used_fraction = 0.7;
+    static constexpr double used_fraction = 0.65;
     /// Requests in the earlier window from which on its shares are compared.
     static constexpr double min_requests = 10;
 
     /// @param max_shift Largest share of the requests that may change their region from one window to the
     /// next, 0 to 1.
     /// @param seed Seed of the random rounding.
-    explicit region_shift_limiter(double max_shift, std::uint64_t seed = 0);
+    explicit region_shift_limiter(double max_shift, std::uint64_t seed = 0)
+        : max_shift_(max_shift), seed_(seed) {}
 
     /// @brief Replaces the limit.
     void set_max_shift(double max_shift) { max_shift_ = max_shift; }
@@ -142,13 +145,18 @@
     void add_to_region(std::int64_t number, std::uint32_t region, double requests);
     void find_references(const region_counts& before, std::span<const region_capacity> capacities);
     double count_own(std::int64_t first, std::int64_t last, std::span<const region_capacity> capacities);
+    void draw_rounding();
     void round_due(double requests);
     void assume_shares(time_ms now, const send_totals& totals);
 
     double max_shift_;
-    // Positions at which this VM rounds the shares and the limit, 0 to 1.
-    double share_rounding_ = 0;
-    double limit_rounding_ = 0;
+    std::uint64_t seed_;
+    // Positions at which this VM rounds the shares and the limit, 0 to 1; drawn at the first use.
+    struct rounding_positions {
+        double shares = 0;
+        double limit = 0;
+    };
+    std::optional<rounding_positions> rounding_;
     // Requests of all VMs of the region.
     history history_;
     // Requests of this VM.
