--- a/tests/report_relay_test.cpp
+++ b/tests/report_relay_test.cpp
@@ -128,9 +128,10 @@
         fleet.run(time_ms{9000});
         const auto count = static_cast<double>(fleet.vms.size());
         sent_per_vm[vms_per_region] = static_cast<double>(fleet.datagrams) / count;
-        for (const auto& vm : fleet.vms)
+        for (const auto& vm : fleet.vms) {
             most_received[vms_per_region] =
                 std::max(most_received[vms_per_region], static_cast<double>(vm->direct));
+        }
     }
     // Two receivers in each of two regions, every 300 ms.
     CHECK(sent_per_vm[10] == 30 * 4);
