Do not count rounding errors of shares as failed slots

The counter with_failed_slots, in the log line region_shift and in the metrics, rose also when the sum of a region's earlier shares was below 1 by a rounding error only. Found by reading; no decision changes, and how much of the figures in the postmortem it explains was not measured.

--- a/src/coordination/region_shift_limiter.cpp
+++ b/src/coordination/region_shift_limiter.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Rounding error of a sum of shares.
+constexpr double share_tolerance = 1e-9;
+
 double total_of(const std::map<std::uint32_t, double>& counts) {
     double total = 0;
     for (const auto& [region, count] : counts)
@@ -78,7 +81,7 @@
         kept += allotments_[i].reference;
         usable_slots += capacity.usable_slots;
     }
-    if (kept < 1) ++decisions_.with_failed_slots;
+    if (kept < 1 - share_tolerance) ++decisions_.with_failed_slots;
     for (std::size_t i = 0; i < capacities.size() && usable_slots > 0; ++i)
         allotments_[i].reference += (1 - kept) * capacities[i].usable_slots / usable_slots;
 }
