Tell callers the large VMs of a region first

Cause: a lookup named all VMs of the region, and callers choose at random, so in regions of 4 large VMs (half a core, 200 Mbit/s) and 16 small ones (a tenth of a core, 10 Mbit/s) four requests in five went through a small VM. Change: entry_pool lists the large VMs, and smaller ones as the load (lag of the event loop) asks for. VMs of one size or of unknown size are listed as before, so the small sites are not touched.

--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -34,6 +34,9 @@
     known.region = report.region;
     known.peer_address = report.peer_address;
     known.caller_address = report.caller_address;
+    known.processor_millicores = report.processor_millicores;
+    known.link_mbps = report.link_mbps;
+    known.busy_permille = report.busy_permille;
 }
 
 } // namespace
--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -71,6 +71,8 @@
 
     [[nodiscard]] const std::map<std::string, fleet_member>& members() const { return members_; }
     [[nodiscard]] const vm_report& self() const { return self_; }
+    /// @brief Sets the part of this VM's processor time that is in use, in thousandths.
+    void set_own_load(std::uint32_t busy_permille) { self_.busy_permille = busy_permille; }
 
 private:
     [[nodiscard]] bool ranks_first(std::string_view key, time_ms now, bool needs_store) const;
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -114,6 +114,12 @@
     region_name region;
     std::string peer_address;
     std::string caller_address;
+    /// Processor time that the VM may use, in thousandths of a core; 0 if unknown.
+    std::uint32_t processor_millicores = 0;
+    /// Bandwidth of the VM's link, in Mbit/s; 0 if unknown.
+    std::uint32_t link_mbps = 0;
+    /// Part of the time that events have lately waited for the VM's event loop, in thousandths.
+    std::uint32_t busy_permille = 0;
     /// The receiver passes the report on to its region.
     bool pass_on = false;
     /// The VM accepts requests; false before it has a configuration and once it is leaving.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,6 +38,8 @@
 // A larger lag is logged: it is a noticeable part of the latency target of any service.
 constexpr time_ms min_logged_lag{100};
 constexpr time_ms maintenance_interval{1000};
+// Weight of one tick in the average load, which so follows the last two to three seconds.
+constexpr double load_sample_weight = 0.02;
 // Lifetime of a lookup answer: long enough to save lookups, short enough for callers to leave a dead VM soon.
 constexpr time_ms max_lookup_lifetime{2000};
 constexpr time_ms store_write_timeout{1000};
@@ -68,6 +70,8 @@
     made.incarnation = incarnation_id{seed};
     made.peer_address = settings.peer_listen;
     made.caller_address = settings.caller_listen;
+    made.processor_millicores = settings.processor_millicores;
+    made.link_mbps = settings.link_mbps;
     return made;
 }
 
@@ -480,6 +484,7 @@
         const auto lag = std::max(now - due, loop_lag_ / 2);
         loop_lag_ = lag > min_compensated_lag ? lag : time_ms{0};
         callers_.set_lag(loop_lag_);
+        measure_load();
         if (now - due > min_logged_lag)
             log(log_level::warn, "thread_late", {{"ms", (now - due).count}, {"busy", callers_.busy()}});
         deadlines_.tick(now);
@@ -507,6 +512,12 @@
         fleet_.remove_silent(now);
         pool_.close_expired(now);
         mirror_.set_live_vms(fleet_.alive_vm_count(now));
+        const auto listed = entry_vms(now, settings_.region.value).size();
+        if (std::exchange(listed_vms_, listed) != listed) {
+            log(log_level::info, "entry_role",
+                {{"listed_vms", listed},
+                 {"busy_permille", fleet_.self().busy_permille}});
+        }
         catch_up_.set_live_vms(fleet_.alive_vm_count(now));
         const auto known = fleet_.known_vm_count();
         limiter_.set_fleet(known, fleet_.alive_vm_count(now), fleet_.in_majority(now));
@@ -525,6 +536,15 @@
     }
 }
 
+// Updates the part of the time that events wait for the event loop, smoothed over some seconds. A process
+// cannot tell how much of its processor time is left on a machine that it shares, but it sees the wait.
+void gateway::measure_load() {
+    const auto lag = static_cast<double>(loop_lag_.count);
+    const double busy = lag / (lag + static_cast<double>(tick_interval.count));
+    busy_permille_ += load_sample_weight * (1000 * busy - busy_permille_);
+    fleet_.set_own_load(static_cast<std::uint32_t>(busy_permille_));
+}
+
 // Logs what the limit on shifts between regions is based on, while requests come.
 void gateway::log_shifts(time_ms now) {
     const auto view = selector_.shift_limiter().take_view(now);
@@ -560,24 +580,30 @@
     }
 }
 
-// Answers with the addresses of ready VMs in the caller's region, or in other regions if it has none.
-asio::awaitable<http_response> gateway::lookup(http_request request) {
-    const std::string target(request.target());
-    if (!target.starts_with(platform::dialect.lookup_path)) co_return make_response(404, "{}");
-    const auto now = monotonic_now();
-    const auto region = query_value(target, "region").value_or(settings_.region.value);
-    std::vector<std::string> near_addresses;
-    std::vector<std::string> far_addresses;
+// Addresses of the VMs that callers of a region are told: ready ones of the region, or of other regions if it
+// has none.
+std::vector<std::string> gateway::entry_vms(time_ms now, std::string_view region) const {
+    std::vector<sized_entry> near_vms;
+    std::vector<sized_entry> far_vms;
     const auto add = [&](const vm_report& report) {
-        (report.region.value == region ? near_addresses : far_addresses).push_back(report.caller_address);
+        (report.region.value == region ? near_vms : far_vms)
+            .push_back(
+                {report.caller_address, report.processor_millicores, report.link_mbps, report.busy_permille});
     };
     if (ready()) add(fleet_.self());
     for (const auto& [name, member] : fleet_.members()) {
         if (fleet_view::alive(member, now) && member.report.ready) add(member.report);
     }
-    auto& addresses = near_addresses.empty() ? far_addresses : near_addresses;
+    return select_entry_vms(near_vms.empty() ? far_vms : near_vms, max_lookup_addresses);
+}
+
+asio::awaitable<http_response> gateway::lookup(http_request request) {
+    const std::string target(request.target());
+    if (!target.starts_with(platform::dialect.lookup_path)) co_return make_response(404, "{}");
+    const auto now = monotonic_now();
+    const auto region = query_value(target, "region").value_or(settings_.region.value);
+    const auto addresses = entry_vms(now, region);
     if (addresses.empty()) co_return make_response(503, "{}");
-    if (addresses.size() > max_lookup_addresses) addresses.resize(max_lookup_addresses);
     co_return make_response(200, platform::encode_lookup_response(
                                      addresses, std::min(max_lookup_lifetime, bounds_.lookup_lifetime)));
 }
@@ -687,6 +713,8 @@
     add("lacewing_region_report_age_ms", selector_.shift_limiter().report_age_ms());
     add("lacewing_endpoints", registry_.size());
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
+    add("lacewing_listed_vms", listed_vms_);
+    add("lacewing_busy_permille", fleet_.self().busy_permille);
     add("lacewing_caller_connections", callers_.connections());
     add("lacewing_caller_connections_closed_for_others_total", callers_.evicted_connections());
     if (flow_.routes() != nullptr)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "coordination/catch_up.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_selector.h"
+#include "coordination/entry_pool.h"
 #include "coordination/fleet_view.h"
 #include "coordination/repeat_budget.h"
 #include "coordination/report_relay.h"
@@ -63,6 +64,8 @@
     boost::asio::awaitable<void> write_move(move_write write);
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> run_maintenance();
+    void measure_load();
+    [[nodiscard]] std::vector<std::string> entry_vms(time_ms now, std::string_view region) const;
     void log_shifts(time_ms now);
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<http_response> lookup(http_request request);
@@ -107,6 +110,10 @@
     std::uint64_t outdated_reports_ = 0;
     // How late the event loop handles events, as last measured; 0 when it is small.
     time_ms loop_lag_{0};
+    // Smoothed part of the time that events wait for the event loop, in thousandths.
+    double busy_permille_ = 0;
+    // How many VMs callers of this region are told, as last logged.
+    std::size_t listed_vms_ = 0;
     bool leaving_ = false;
 };
 
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -243,6 +243,14 @@
     if (!is_socket_address(report.peer_address)) reject("a peer message has an invalid address");
 }
 
+// Thousandths of a core, Mbit/s of the link, thousandths of the processor time in use.
+void decode_capacity(std::string_view value, vm_report& report) {
+    item_reader in(value);
+    report.processor_millicores = in.tag();
+    report.link_mbps = in.tag();
+    report.busy_permille = in.tag();
+}
+
 constexpr std::uint64_t ready_bit = 1;
 constexpr std::uint64_t leaving_bit = 2;
 constexpr std::uint64_t store_reached_bit = 4;
@@ -423,7 +431,7 @@
     field_decoder{"sent", decode_region_sends}, field_decoder{"use", decode_usage},
     field_decoder{"lim", decode_limits},        field_decoder{"bye", decode_leaving_endpoints},
     field_decoder{"out", decode_outcomes},      field_decoder{"share", decode_move_shares},
-    field_decoder{"mov", decode_moves},
+    field_decoder{"mov", decode_moves},         field_decoder{"cap", decode_capacity},
 };
 
 struct report_field {
@@ -453,6 +461,11 @@
             .name(report.region.value)
             .name(report.peer_address)
             .name(report.caller_address);
+        if (report.processor_millicores != 0 || report.link_mbps != 0)
+            out.field("cap")
+                .number(report.processor_millicores)
+                .number(report.link_mbps)
+                .number(report.busy_permille);
     }
     if (!report.revisions.empty()) {
         auto items = out.field("rev");
--- a/src/state/gateway_settings.cpp
+++ b/src/state/gateway_settings.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
+
 namespace lacewing {
 
 namespace {
@@ -41,7 +43,7 @@
     const yaml_reader root(text, file);
     root.check_fields({"vm", "zone", "region", "zones", "caller_listen", "ready_listen", "lookup_listen",
                        "peer_listen", "metrics_listen", "platform_store", "seeds", "descriptors", "bounds",
-                       "fleet_start", "log_lines_per_s"});
+                       "fleet_start", "log_lines_per_s", "processor_share", "processor_cores", "link_mbps"});
     gateway_settings settings;
     settings.vm = {root.name("vm")};
     settings.zone = {root.name("zone")};
@@ -62,6 +64,9 @@
     }
     settings.descriptors =
         root.integer_or("descriptors", reserved_descriptors + 32, 1024) - reserved_descriptors;
+    settings.processor_millicores = static_cast<std::uint32_t>(
+        std::lround(root.number_or("processor_share", 0) * root.number_or("processor_cores", 1) * 1000));
+    settings.link_mbps = static_cast<std::uint32_t>(std::lround(root.number_or("link_mbps", 0)));
     settings.fleet_start = root.boolean_or("fleet_start", false);
     settings.encoded_bounds = root.text_list("bounds");
     settings.log_lines_per_s = root.integer_or("log_lines_per_s", 1, settings.log_lines_per_s);
--- a/src/state/gateway_settings.h
+++ b/src/state/gateway_settings.h
@@ -58,6 +58,10 @@
     bool fleet_start = false;
     /// File descriptors that connections may use.
     std::int64_t descriptors = 1024;
+    /// Processor time that this process may use, in thousandths of a core; 0 if unknown.
+    std::uint32_t processor_millicores = 0;
+    /// Bandwidth of this VM's link, in Mbit/s; 0 if unknown.
+    std::uint32_t link_mbps = 0;
     /// Values of service_bounds as texts "name=value" with the names of the platform, not decoded yet.
     std::vector<std::string> encoded_bounds;
     /// Maximum number of log lines per second; further lines are dropped and counted.
--- a/src/state/yaml_reader.cpp
+++ b/src/state/yaml_reader.cpp
@@ -181,6 +181,17 @@
     return has(field) ? integer(field, minimum) : default_value;
 }
 
+double yaml_reader::number_or(std::string_view field, double default_value) const {
+    if (!has(field)) return default_value;
+    const auto value = scalar(field, "a number");
+    double parsed = 0;
+    const auto [end, failure] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+    if (failure != std::errc{} || end != value.data() + value.size() || !(parsed >= 0) ||
+        parsed > max_integer)
+        fail(field, fmt::format("'{}' is not a number from 0 to {}", value, max_integer));
+    return parsed;
+}
+
 bool yaml_reader::boolean_or(std::string_view field, bool default_value) const {
     if (!has(field)) return default_value;
     const auto value = scalar(field, "true or false");
--- a/src/state/yaml_reader.h
+++ b/src/state/yaml_reader.h
@@ -48,6 +48,8 @@
     [[nodiscard]] std::int64_t integer(std::string_view field, std::int64_t minimum) const;
     [[nodiscard]] std::int64_t integer_or(std::string_view field, std::int64_t minimum,
                                           std::int64_t default_value) const;
+    /// @brief Number of at least 0 that may have decimals.
+    [[nodiscard]] double number_or(std::string_view field, double default_value) const;
     [[nodiscard]] bool boolean_or(std::string_view field, bool default_value) const;
     /// @brief Required rate, returned in requests per second: an integer without a unit or with /s, /min or
     /// /h.
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -21,6 +21,9 @@
 seeds: ["10.0.0.2:4"]
 fleet_start: true
 descriptors: 4100
+processor_share: 0.2
+processor_cores: 2
+link_mbps: 12.5
 bounds: ["drain=2s"]
 )";
 
@@ -34,6 +37,8 @@
     CHECK(settings.seeds.size() == 1);
     CHECK(settings.fleet_start);
     CHECK(settings.descriptors < 4100);
+    CHECK(settings.processor_millicores == 400);
+    CHECK(settings.link_mbps == 13);
 }
 
 TEST_CASE("gateway settings: a bad file starts a process, or its error does not name the field") {
@@ -51,5 +56,7 @@
     CHECK(rejected_field("10.0.0.1:1", "10.0.0.1") == "caller_listen|f");
     CHECK(rejected_field("10.0.0.2:4", "elsewhere") == "seeds|f");
     CHECK(rejected_field("4100", "10") == "descriptors|f");
+    CHECK(rejected_field("link_mbps: 12.5", "link_mbps: -1") == "link_mbps|f");
+    CHECK(rejected_field("processor_share: 0.2", "processor_share: half") == "processor_share|f");
     CHECK(rejected_field("fleet_start", "fleet_begin") == "fleet_begin|f");
 }
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -23,6 +23,9 @@
     report.made_at = time_ms{1'000'000'000'001};
     report.peer_address = "10.0.0.1:1";
     report.caller_address = "10.0.0.1:2";
+    report.processor_millicores = 500;
+    report.link_mbps = 200;
+    report.busy_permille = 130;
     report.ready = true;
     report.store_reached = true;
     report.pass_on = true;
@@ -53,6 +56,9 @@
     CHECK(decoded.configuration_version == report.configuration_version);
     CHECK(decoded.has_identity);
     CHECK(decoded.caller_address == report.caller_address);
+    CHECK(decoded.processor_millicores == 500);
+    CHECK(decoded.link_mbps == 200);
+    CHECK(decoded.busy_permille == 130);
     CHECK(decoded.ready);
     CHECK_FALSE(decoded.leaving);
     CHECK(decoded.store_reached);
