Watch the store closely on two VMs of a large region

Change: in a region of five or more VMs the two of highest rendezvous weight watch closely; the others let the store answer from a copy that lags, and learn of changes from the reports. VMs that know of no other with access to the store watch closely, as in small regions. The tests of fleet view fail without the limits (all VMs would watch).

--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -6,6 +6,13 @@
 
 namespace {
 
+// Key of the duty to watch the store for the region.
+constexpr std::string_view region_watch_key = "watch";
+// With two, the failure of one delays no change.
+constexpr std::size_t region_watchers = 2;
+// In a smaller region all VMs watch closely: their calls do not add up, and each sees a change by itself.
+constexpr std::size_t min_region_to_share_watches = 5;
+
 // Rendezvous weight of a VM for the key of a duty. It depends on the name of the VM, not on its incarnation,
 // so a restart does not move duties.
 std::uint64_t duty_weight(std::string_view key, std::string_view vm) {
@@ -120,6 +127,19 @@
     return store_reached && ranks_first(key, now, true);
 }
 
+bool fleet_view::watches_for_region(time_ms now) const {
+    const auto own = duty_weight(region_watch_key, self_.vm.value);
+    std::size_t region_vms = 1;
+    std::size_t ranked_before = 0;
+    for (const auto& [name, member] : members_) {
+        if (!alive(member, now) || !member.report.store_reached || member.report.region != self_.region)
+            continue;
+        ++region_vms;
+        if (duty_weight(region_watch_key, name) > own) ++ranked_before;
+    }
+    return region_vms < min_region_to_share_watches || ranked_before < region_watchers;
+}
+
 bool fleet_view::ranks_first(std::string_view key, time_ms now, bool needs_store) const {
     const auto own = duty_weight(key, self_.vm.value);
     return std::none_of(members_.begin(), members_.end(), [&](const auto& entry) {
--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -69,6 +69,9 @@
     /// @param store_reached Whether this VM can reach the store.
     [[nodiscard]] bool owns_writes(std::string_view key, time_ms now, bool store_reached) const;
 
+    /// @brief Whether this VM is one of the VMs that watch the store closely for their region.
+    [[nodiscard]] bool watches_for_region(time_ms now) const;
+
     [[nodiscard]] const std::map<std::string, fleet_member>& members() const { return members_; }
     [[nodiscard]] const vm_report& self() const { return self_; }
     /// @brief Sets the part of this VM's processor time that is in use, in thousandths.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -512,11 +512,15 @@
         fleet_.remove_silent(now);
         pool_.close_expired(now);
         mirror_.set_live_vms(fleet_.alive_vm_count(now));
+        const bool watches = fleet_.watches_for_region(now);
+        mirror_.set_watches_for_region(watches);
         const auto listed = entry_vms(now, settings_.region.value).size();
-        if (std::exchange(listed_vms_, listed) != listed) {
+        if (std::exchange(listed_vms_, listed) != listed ||
+            std::exchange(watches_store_, watches) != watches) {
             log(log_level::info, "entry_role",
                 {{"listed_vms", listed},
-                 {"busy_permille", fleet_.self().busy_permille}});
+                 {"busy_permille", fleet_.self().busy_permille},
+                 {"watches_store", watches}});
         }
         catch_up_.set_live_vms(fleet_.alive_vm_count(now));
         const auto known = fleet_.known_vm_count();
@@ -715,6 +719,7 @@
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
     add("lacewing_listed_vms", listed_vms_);
     add("lacewing_busy_permille", fleet_.self().busy_permille);
+    add("lacewing_watches_store", watches_store_ ? 1 : 0);
     add("lacewing_caller_connections", callers_.connections());
     add("lacewing_caller_connections_closed_for_others_total", callers_.evicted_connections());
     if (flow_.routes() != nullptr)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -112,8 +112,10 @@
     time_ms loop_lag_{0};
     // Smoothed part of the time that events wait for the event loop, in thousandths.
     double busy_permille_ = 0;
-    // How many VMs callers of this region are told, as last logged.
+    // As last logged: how many VMs callers of this region are told, and whether this VM watches the store
+    // closely.
     std::size_t listed_vms_ = 0;
+    bool watches_store_ = false;
     bool leaving_ = false;
 };
 
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -73,7 +73,9 @@
     if (must_list) {
         co_return co_await store_.list(kind, list_timeout);
     }
-    co_return co_await store_.watch(kind, kinds_[kind].as_of(), watch_wait(kind), watch_grace);
+    co_return co_await store_.watch(kind, kinds_[kind].as_of(), watch_wait(kind), watch_grace,
+                                    watches_for_region_ ? platform::watch_freshness::current
+                                                        : platform::watch_freshness::may_lag);
 }
 
 // Lists a kind, then watches it; lists it again when the store no longer has the events after the known
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -60,6 +60,10 @@
         live_vms_ = static_cast<std::int64_t>(std::max<std::size_t>(1, count));
     }
 
+    /// @brief Sets whether this VM watches for its region: its watches see each change at once, and the other
+    /// VMs learn of changes from it before their own watches bring them.
+    void set_watches_for_region(bool watches) { watches_for_region_ = watches; }
+
     /// @brief Objects of a kind by name.
     [[nodiscard]] const std::map<std::string, Json::Value>& objects(const std::string& kind) const;
     /// @brief Whether a kind has been listed, or received from another VM, since the start.
@@ -95,6 +99,7 @@
     std::map<std::string, object_copy> kinds_;
     std::set<std::string> relaxed_kinds_;
     std::int64_t live_vms_ = 1;
+    bool watches_for_region_ = true;
     std::mt19937_64 random_;
     listener on_change_;
     time_ms last_success_{-1'000'000};
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -109,3 +109,64 @@
     // A process without numbers, of an earlier release.
     CHECK_FALSE(fleet.outdated(report("b").header()));
 }
+
+TEST_CASE("fleet view: the watchers of a large region are too many, or none is left when they fail") {
+    std::vector<std::string> names;
+    for (int i = 0; i < 20; ++i)
+        names.push_back("vm-" + std::to_string(i));
+    const auto watchers = [&names](time_ms now, std::size_t silent_from, bool store_reached) {
+        std::vector<std::string> found;
+        for (std::size_t self = 0; self < silent_from; ++self) {
+            fleet_view view(report(names[self]));
+            for (std::size_t other = 0; other < silent_from; ++other) {
+                auto made = report(names[other]);
+                made.store_reached = store_reached;
+                view.on_report(now, made);
+            }
+            if (view.watches_for_region(now)) found.push_back(names[self]);
+        }
+        return found;
+    };
+    CHECK(watchers(time_ms{100}, 20, true).size() == 2);
+    CHECK(watchers(time_ms{100}, 7, true).size() == 2);
+    // Small regions, and VMs that know of no other with access to the store, watch by themselves.
+    CHECK(watchers(time_ms{100}, 4, true).size() == 4);
+    CHECK(watchers(time_ms{100}, 20, false).size() == 20);
+}
+
+TEST_CASE("fleet view: a watcher of another region counts for this one") {
+    fleet_view view(report("vm-0"));
+    for (int i = 1; i < 20; ++i) {
+        auto made = report("vm-" + std::to_string(i));
+        made.region = {"west"};
+        view.on_report(time_ms{0}, made);
+    }
+    CHECK(view.watches_for_region(time_ms{1}));
+}
+
+TEST_CASE("fleet view: a watcher that has fallen silent is not replaced") {
+    const auto view_at = [](time_ms now, const std::string& self) {
+        fleet_view view(report(self));
+        for (int i = 0; i < 20; ++i)
+            view.on_report(now, report("vm-" + std::to_string(i)));
+        return view;
+    };
+    std::vector<std::string> first;
+    for (int i = 0; i < 20; ++i) {
+        const auto name = "vm-" + std::to_string(i);
+        if (view_at(time_ms{0}, name).watches_for_region(time_ms{1})) first.push_back(name);
+    }
+    REQUIRE(first.size() == 2);
+    std::size_t later = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto name = "vm-" + std::to_string(i);
+        if (name == first[0]) continue;
+        auto view = view_at(time_ms{0}, name);
+        for (int other = 0; other < 20; ++other) {
+            const auto reporting = "vm-" + std::to_string(other);
+            if (reporting != first[0]) view.on_report(time_ms{2500}, report(reporting));
+        }
+        if (view.watches_for_region(time_ms{2501})) ++later;
+    }
+    CHECK(later == 2);
+}
