Report the usage of the accounts by one VM at a time under a lease

The lease and the final counts of the windows now lie in one object of the store, which changes only by writes that name its last revision; counts are reported only after the store has confirmed them. VMs send totals to the collector of their zone, which sends sums to the holder, each until acknowledged. Nothing changes where the settings name no duty.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "platform/object_codec.h"
 #include "protocol/caller_http.h"
 #include "protocol/report_codec.h"
+#include "protocol/usage_codec.h"
 #include "state/configuration.h"
 #include "state/yaml_reader.h"
 #include "transport/log.h"
@@ -146,6 +147,15 @@
             snapshot_budget_.on_sent(text.size());
             return text;
         });
+    if (duty_runner::wanted(settings)) {
+        duty_ = std::make_unique<duty_runner>(
+            context_, store_, fleet_, settings, bounds_, seed,
+            [this](time_ms now) { return mirror_.is_reachable(now); },
+            [this](const std::string& address, std::string_view datagram) {
+                peers_->send_datagram(address, datagram);
+            });
+        flow_.set_usage_counter(&duty_->counter());
+    }
     callers_.listen(
         settings.caller_listen,
         static_cast<std::size_t>(static_cast<double>(settings.descriptors) * caller_descriptor_share));
@@ -334,6 +344,10 @@
 
 // Handles the report of the sender and those that it passes on.
 void gateway::on_datagram(std::string_view datagram) {
+    if (is_usage_message(datagram)) {
+        if (duty_ != nullptr) duty_->on_datagram(datagram);
+        return;
+    }
     bool direct = true;
     try {
         for (const auto text : split_report_datagram(datagram))
@@ -496,6 +510,7 @@
         for (const auto& write : writes)
             asio::co_spawn(context_, write_move(write), asio::detached);
         send_reports();
+        if (duty_ != nullptr) duty_->on_tick(now);
     }
 }
 
@@ -593,6 +608,7 @@
 asio::awaitable<void> gateway::stop() {
     const stop_schedule schedule(monotonic_now() - std::min(loop_lag_, max_signal_delay), bounds_.stop_grace);
     leaving_ = true;
+    if (duty_ != nullptr) duty_->begin_stop();
     log(log_level::info, "stopping",
         {{"busy", callers_.busy()},
          {"connections", callers_.connections()},
@@ -686,6 +702,7 @@
     add("lacewing_shift_decisions_with_failed_slots_total", shifts.with_failed_slots);
     add("lacewing_region_report_age_ms", selector_.shift_limiter().report_age_ms());
     add("lacewing_endpoints", registry_.size());
+    if (duty_ != nullptr) out += duty_->metrics();
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
     add("lacewing_caller_connections", callers_.connections());
     add("lacewing_caller_connections_closed_for_others_total", callers_.evicted_connections());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "coordination/version_mover.h"
 #include "gateway/caller_server.h"
 #include "gateway/deadline_queue.h"
+#include "gateway/duty_runner.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/request_flow.h"
 #include "gateway/store_mirror.h"
@@ -90,6 +91,8 @@
     caller_server callers_;
     std::unique_ptr<peer_exchange> peers_;
     report_relay relay_;
+    // Null when the settings call for no duty.
+    std::unique_ptr<duty_runner> duty_;
     std::unique_ptr<http_server> ready_server_;
     std::unique_ptr<http_server> lookup_server_;
     std::unique_ptr<http_server> metrics_server_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -227,7 +227,13 @@
         }
         if (repeat) ++counters_.repeats;
         context.sends.on_send();
+        const bool counted = usage_ != nullptr && context.account != nullptr;
+        const auto window =
+            counted ? usage_->on_begin(context.account->name.value, now + choice.round_trip / 2 + choice.wait)
+                    : 0;
         auto result = co_await attempt(context, query, choice, sink);
+        if (counted && (result.unsent || (result.answer && result.answer->not_run)))
+            usage_->take_back(context.account->name.value, window);
         if (!result.unsent) ++attempts_sent;
         if (result.unsent) {
             context.sends.on_unsent();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -8,6 +8,7 @@
 #include "coordination/route_table.h"
 #include "coordination/send_ledger.h"
 #include "coordination/stop_schedule.h"
+#include "coordination/usage_windows.h"
 #include "coordination/version_mover.h"
 #include "gateway/caller_server.h"
 #include "gateway/deadline_queue.h"
@@ -66,6 +67,9 @@
     /// @brief Puts a configuration into force; requests in progress keep the one they started with.
     void set_routes(std::shared_ptr<const route_table> routes) { routes_ = std::move(routes); }
     [[nodiscard]] const std::shared_ptr<const route_table>& routes() const { return routes_; }
+    /// @brief Counts the requests that endpoints run.
+    /// @param counter Outlives this object.
+    void set_usage_counter(usage_counter* counter) { usage_ = counter; }
     /// @brief Begins a graceful stop: from now on, only requests that the schedule admits are sent to
     /// endpoints.
     void begin_stop(const stop_schedule& schedule) { stop_ = schedule; }
@@ -152,6 +156,8 @@
     account_limiter& limiter_;
     repeat_budget& repeats_;
     version_mover& moves_;
+    // Null when nobody asks for the counts.
+    usage_counter* usage_ = nullptr;
     weighted_service_selector split_;
     std::mt19937_64 random_;
     std::shared_ptr<const route_table> routes_;
--- a/src/state/gateway_settings.cpp
+++ b/src/state/gateway_settings.cpp
@@ -41,7 +41,7 @@
     const yaml_reader root(text, file);
     root.check_fields({"vm", "zone", "region", "zones", "caller_listen", "ready_listen", "lookup_listen",
                        "peer_listen", "metrics_listen", "platform_store", "seeds", "descriptors", "bounds",
-                       "fleet_start", "log_lines_per_s"});
+                       "fleet_start", "log_lines_per_s", "duty_api", "duties"});
     gateway_settings settings;
     settings.vm = {root.name("vm")};
     settings.zone = {root.name("zone")};
@@ -56,6 +56,8 @@
     settings.peer_listen = root.address("peer_listen");
     settings.metrics_listen = optional_address(root, "metrics_listen");
     settings.store = root.address("platform_store");
+    settings.duty_api = optional_address(root, "duty_api");
+    if (root.has("duties")) settings.duties = root.text_list("duties");
     settings.seeds = root.text_list("seeds");
     for (const auto& seed : settings.seeds) {
         if (!is_socket_address(seed)) root.fail("seeds", fmt::format("'{}' is not an address ip:port", seed));
--- a/src/state/gateway_settings.h
+++ b/src/state/gateway_settings.h
@@ -32,6 +32,11 @@
     /// During a version move a bad version gets at most this share of the service's requests, plus the slack.
     double exposure_share = 0.1;
     double exposure_slack = 50;
+    /// Time within which a duty of the fleet does not return to a VM that has passed it on.
+    time_ms duty_term{3000};
+    /// Length of the windows of the usage reports, and the time after its end at which a report is due.
+    time_ms usage_window{5000};
+    time_ms usage_late{10'000};
     /// Maximum share of a region's requests that may move to other regions from one 2 s window to the next.
     double max_region_shift = 0.15;
 };
@@ -54,6 +59,10 @@
     std::string store;
     /// Peer addresses of VMs to contact first after the start.
     std::vector<std::string> seeds;
+    /// Address of the platform's interface for duties of the fleet; empty when there is none.
+    std::string duty_api;
+    /// Duties that the fleet performs there.
+    std::vector<std::string> duties;
     /// The whole fleet starts for the first time, so no account has used any of its rate limit yet.
     bool fleet_start = false;
     /// File descriptors that connections may use.
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -97,6 +97,8 @@
 // of the response.
 asio::awaitable<std::optional<http_response>>
 http_client::shared_state::exchange(connection_ptr connection, http_request& request, bool reused) {
+    if (options.may_send && !options.may_send())
+        throw http_error(http_failure::connect_failed, fmt::format("{}: the request was withdrawn", address));
     error_code write_failure;
     co_await http::async_write(connection->stream, request, await_with_error(write_failure));
     if (write_failure == beast::error::timeout) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -46,6 +47,8 @@
     std::size_t max_idle_connections = 8;
     /// Largest response body in bytes.
     std::uint64_t max_response_bytes = std::uint64_t{64} * 1024 * 1024;
+    /// Asked right before a request is written, after the connect; false fails it as connect_failed.
+    std::function<bool()> may_send = {};
 };
 
 /// @brief HTTP/1.1 client for one address with a pool of keep-alive connections. Must be used on one thread
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/duty_runner.h"
 #include "state/configuration.h"
 #include "state/gateway_settings.h"
 
@@ -36,6 +37,18 @@
     CHECK(settings.descriptors < 4100);
 }
 
+TEST_CASE("gateway settings: a duty is on although the settings name none") {
+    const auto off = parse_gateway_settings(valid_text + "duties:\n", "f");
+    CHECK_FALSE(duty_runner::wanted(off));
+    CHECK_FALSE(duty_runner::wanted(parse_gateway_settings(valid_text, "f")));
+    const auto other =
+        parse_gateway_settings(valid_text + "duty_api: \"10.0.0.8:1\"\nduties: [other]\n", "f");
+    CHECK_FALSE(duty_runner::wanted(other));
+    const auto on = parse_gateway_settings(valid_text + "duty_api: \"10.0.0.8:1\"\nduties: [usage]\n", "f");
+    CHECK(on.duty_api == "10.0.0.8:1");
+    CHECK(duty_runner::wanted(on));
+}
+
 TEST_CASE("gateway settings: a bad file starts a process, or its error does not name the field") {
     const auto rejected_field = [](const std::string& from, const std::string& to) {
         auto text = valid_text;
