--- a/tests/usage_duty_simulation.cpp
+++ b/tests/usage_duty_simulation.cpp
@@ -137,6 +137,7 @@
     auto& vm = vms_[index];
     if (now_ >= vm.peer_cut_until) vm.last_audible = now_;
     vm.store_cut_since = !store_away(vm) ? -1 : vm.store_cut_since < 0 ? now_ : vm.store_cut_since;
+    check_single_holder(index);
     vm.duty->set_fleet(steady(vm, now_), view(index));
     serve_requests(index);
     deliver(index, vm.duty->step(steady(vm, now_), time_of_day(vm, now_)));
@@ -151,6 +152,26 @@
                 [this, index](vm_state& state) { tick(index, state.incarnation); });
 }
 
+// No two processes may act at the same time, whatever they have to report just then.
+void usage_duty_simulation::check_single_holder(std::size_t index) {
+    const auto may_act = [this](const vm_state& vm) {
+        return vm.duty != nullptr && now_ >= vm.frozen_until && vm.duty->lease().may_act(steady(vm, now_));
+    };
+    if (!may_act(vms_[index])) return;
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (i != index && may_act(vms_[i])) fail(fmt::format("{} and {} may act at the same time", index, i));
+    }
+    if (!tenures_.empty() && tenures_.back().vm == index) {
+        tenures_.back().at = now_;
+        return;
+    }
+    for (const auto& tenure : tenures_) {
+        if (tenure.vm == index && now_ - tenure.at < term_ms)
+            fail(fmt::format("{} may act again {} ms after it gave way", index, now_ - tenure.at));
+    }
+    tenures_.push_back({now_, index});
+}
+
 // Requests of two accounts begin to run; some are refused a little later.
 void usage_duty_simulation::serve_requests(std::size_t index) {
     if (now_ < traffic_begin_ms) return;
@@ -306,6 +327,18 @@
     return 0;
 }
 
+// Stops the process of a VM gracefully and starts it again.
+void usage_duty_simulation::stop(std::size_t index) {
+    auto& vm = vms_[index];
+    if (vm.duty == nullptr) return;
+    vm.duty->begin_stop();
+    inexact_.insert(window_of(now_));
+    const auto incarnation = vm.incarnation;
+    at(now_ + draw(300, 1500), [this, index, incarnation] {
+        if (vms_[index].incarnation == incarnation && vms_[index].duty != nullptr) start(index);
+    });
+}
+
 void usage_duty_simulation::disturb(int number) {
     const auto span = draw(1000, 8000);
     const auto end = now_ + span;
@@ -359,6 +392,14 @@
     case 10:
         network_loses_until_ = end;
         break;
+    case 11: // stopped in turn
+        stop(target);
+        // The next holder is stopped as well, which is a disturbance of its own.
+        at(now_ + draw(1500, 3500), [this] {
+            stop(holder());
+            troubles_.push_back({now_, now_, false});
+        });
+        break;
     default: // the time of day of one VM steps and steps back
         vm.clock_error += chance(0.5) ? 3000 : -3000;
         at(end, [this, target] { vms_[target].clock_error = 0; });
@@ -404,7 +445,7 @@
     for (std::size_t i = 0; i < vms_.size(); ++i)
         at(draw(0, 300), [this, i] { start(i); });
     for (int i = 0; i < disturbances_; ++i) {
-        at(draw(5000, 75'000), [this] { disturb(static_cast<int>(draw(0, 11))); });
+        at(draw(5000, 75'000), [this] { disturb(static_cast<int>(draw(0, 12))); });
     }
     while (!queue_.empty() && queue_.top().at <= end_ms) {
         auto next = queue_.top();
--- a/tests/usage_duty_simulation.h
+++ b/tests/usage_duty_simulation.h
@@ -81,6 +81,8 @@
     void leave_unanswered(std::size_t index, std::uint64_t incarnation);
     void call_platform(std::size_t index, const usage_duty::report& report);
     void accept(std::size_t index, const usage_duty::report& report);
+    void stop(std::size_t index);
+    void check_single_holder(std::size_t index);
     void serve_requests(std::size_t index);
     void disturb(int number);
     [[nodiscard]] usage_fleet view(std::size_t index) const;
@@ -113,6 +115,8 @@
     std::map<std::int64_t, usage_counts> truth_;
     std::map<std::uint64_t, std::size_t> token_owner_;
     std::vector<platform_call> calls_;
+    // When each holder could last act, in order.
+    std::vector<platform_call> tenures_;
     std::vector<trouble> troubles_;
     // Windows in which a process ended or was cut off with its counts.
     std::set<std::int64_t> inexact_;
