--- a/src/state/gateway_settings.cpp
+++ b/src/state/gateway_settings.cpp
@@ -10,6 +10,7 @@
 
 // File descriptors that connections cannot use: those of files, listeners, timers and the log.
 constexpr std::int64_t reserved_descriptors = 220;
+constexpr std::int64_t min_memory_mb = 32;
 
 // Address in a field, empty when the field is absent or empty.
 std::string optional_address(const yaml_reader& root, std::string_view field) {
@@ -40,8 +41,8 @@
 gateway_settings parse_gateway_settings(std::string_view text, std::string_view file) {
     const yaml_reader root(text, file);
     root.check_fields({"vm", "zone", "region", "zones", "caller_listen", "ready_listen", "lookup_listen",
-                       "peer_listen", "metrics_listen", "platform_store", "seeds", "descriptors", "bounds",
-                       "fleet_start", "log_lines_per_s"});
+                       "peer_listen", "metrics_listen", "platform_store", "seeds", "descriptors", "memory_mb",
+                       "bounds", "fleet_start", "log_lines_per_s"});
     gateway_settings settings;
     settings.vm = {root.name("vm")};
     settings.zone = {root.name("zone")};
@@ -62,6 +63,7 @@
     }
     settings.descriptors =
         root.integer_or("descriptors", reserved_descriptors + 32, 1024) - reserved_descriptors;
+    settings.memory_mb = root.integer_or("memory_mb", min_memory_mb, settings.memory_mb);
     settings.fleet_start = root.boolean_or("fleet_start", false);
     settings.encoded_bounds = root.text_list("bounds");
     settings.log_lines_per_s = root.integer_or("log_lines_per_s", 1, settings.log_lines_per_s);
--- a/src/state/gateway_settings.h
+++ b/src/state/gateway_settings.h
@@ -58,6 +58,8 @@
     bool fleet_start = false;
     /// File descriptors that connections may use.
     std::int64_t descriptors = 1024;
+    /// Memory of the VM in MB, of which callers may hold a part; see caller_memory.
+    std::int64_t memory_mb = 512;
     /// Values of service_bounds as texts "name=value" with the names of the platform, not decoded yet.
     std::vector<std::string> encoded_bounds;
     /// Maximum number of log lines per second; further lines are dropped and counted.
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -37,10 +37,11 @@
 
 limit_settings read_limits(const yaml_reader& item) {
     item.check_fields({"header_bytes", "header_timeout_ms", "body_bytes", "queue_length",
-                       "caller_connections", "stop_grace_ms"});
+                       "caller_connections", "memory_mb", "stop_grace_ms"});
     const limit_settings defaults;
     // A request line with the headers for a key and a request id needs at least this much.
     constexpr std::int64_t min_header_bytes = 512;
+    constexpr std::int64_t min_memory_mb = 32;
     limit_settings limits;
     limits.header_bytes = item.integer_or("header_bytes", min_header_bytes, defaults.header_bytes);
     limits.header_timeout =
@@ -49,6 +50,7 @@
     limits.body_bytes = item.integer_or("body_bytes", 0, defaults.body_bytes);
     limits.queue_length = item.integer_or("queue_length", 0, defaults.queue_length);
     limits.caller_connections = item.integer_or("caller_connections", 1, defaults.caller_connections);
+    limits.memory_mb = item.integer_or("memory_mb", min_memory_mb, defaults.memory_mb);
     limits.stop_grace = item.duration_or("stop_grace_ms", duration_unit::milliseconds, defaults.stop_grace);
     if (limits.stop_grace.count == 0) item.fail("stop_grace_ms", "must be above 0");
     return limits;
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -31,6 +31,8 @@
     std::int64_t queue_length = 1000;
     /// Maximum number of open caller connections.
     std::int64_t caller_connections = 10'000;
+    /// Memory of the VM in MB, of which callers may hold a part; see caller_memory.
+    std::int64_t memory_mb = 2'048;
     /// Time from the signal to stop until whoever supervises the process kills it. Requests that cannot be
     /// answered in this time are refused once the stop has begun.
     time_ms stop_grace{30'000};
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -21,6 +21,7 @@
 seeds: ["10.0.0.2:4"]
 fleet_start: true
 descriptors: 4100
+memory_mb: 160
 bounds: ["drain=2s"]
 )";
 
@@ -34,6 +35,7 @@
     CHECK(settings.seeds.size() == 1);
     CHECK(settings.fleet_start);
     CHECK(settings.descriptors < 4100);
+    CHECK(settings.memory_mb == 160);
 }
 
 TEST_CASE("gateway settings: a bad file starts a process, or its error does not name the field") {
@@ -51,5 +53,6 @@
     CHECK(rejected_field("10.0.0.1:1", "10.0.0.1") == "caller_listen|f");
     CHECK(rejected_field("10.0.0.2:4", "elsewhere") == "seeds|f");
     CHECK(rejected_field("4100", "10") == "descriptors|f");
+    CHECK(rejected_field("memory_mb: 160", "memory_mb: 8") == "memory_mb|f");
     CHECK(rejected_field("fleet_start", "fleet_begin") == "fleet_begin|f");
 }
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -431,13 +431,15 @@
     for (std::size_t i = 0; i < vms_.size(); ++i) {
         if (i != index) seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ", ", vms_[i].peer_address);
     }
-    write_file(fmt::format("vm-{}.yaml", index + 1),
-               fmt::format("vm: vm-{}\nzone: {}\ncaller_listen: {}\npeer_listen: {}\noperator_listen: {}\n"
-                           "store: {}\nseeds: [{}]\nlimits:\n  header_bytes: 16384\n"
-                           "  header_timeout_ms: 1000ms\n  body_bytes: {}\n  stop_grace_ms: {}\n",
-                           index + 1, vm.zone, vm.caller_address, vm.peer_address, vm.operator_address,
-                           store_address_, seeds, index == 0 ? options_.first_vm_max_body_bytes : 268'435'456,
-                           options_.stop_grace.count));
+    write_file(
+        fmt::format("vm-{}.yaml", index + 1),
+        fmt::format("vm: vm-{}\nzone: {}\ncaller_listen: {}\npeer_listen: {}\noperator_listen: {}\n"
+                    "store: {}\nseeds: [{}]\nlimits:\n  header_bytes: 16384\n"
+                    "  header_timeout_ms: 1000ms\n  body_bytes: {}\n  stop_grace_ms: {}\n",
+                    index + 1, vm.zone, vm.caller_address, vm.peer_address, vm.operator_address,
+                    store_address_, seeds, index == 0 ? options_.first_vm_max_body_bytes : 268'435'456,
+                    options_.stop_grace.count) +
+            (options_.memory_mb == 0 ? std::string() : fmt::format("  memory_mb: {}\n", options_.memory_mb)));
 }
 
 void deployment::start_vm(std::size_t index) {
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -126,6 +126,8 @@
     std::string plans;
     /// Limit of the request body on the first VM; the others accept 256 MiB.
     std::int64_t first_vm_max_body_bytes = 1'048'576;
+    /// Memory in the settings of the VMs in MB; 0 to leave it out.
+    std::int64_t memory_mb = 0;
     /// Time from SIGTERM until the VMs have ended.
     time_ms stop_grace{30'000};
     /// Whether the constructor starts the VMs and waits until they serve requests.
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -22,8 +22,6 @@
 constexpr int ports_per_vm = 10;
 constexpr int store_port = first_port - 1;
 constexpr int store_server_port = first_port - 2;
-// As on the users' VMs.
-constexpr int vm_descriptors = 4'100;
 
 Json::Value parse_json(const std::string& text) {
     Json::Value value;
@@ -48,8 +46,8 @@
 
 } // namespace
 
-platform_stand_in::platform_stand_in(std::size_t vm_count, time_ms grace)
-    : work_(asio::make_work_guard(context_)), vm_count_(vm_count), grace_(grace) {
+platform_stand_in::platform_stand_in(std::size_t vm_count, time_ms grace, vm_limits limits)
+    : work_(asio::make_work_guard(context_)), vm_count_(vm_count), grace_(grace), limits_(limits) {
     // Each test process and instance uses a different loopback address, because the ports are fixed.
     static std::atomic<int> instances{0};
     host_ =
@@ -90,9 +88,10 @@
                "caller_listen: \"{}\"\nready_listen: \"{}\"\nlookup_listen: \"{}\"\npeer_listen: \"{}\"\n",
                address(vm, caller_port_offset), address(vm, ready_port_offset),
                address(vm, lookup_port_offset), address(vm, peer_port_offset))
-        << fmt::format("platform_store: \"{}:{}\"\ndescriptors: {}\n", host_, store_port, vm_descriptors)
+        << fmt::format("platform_store: \"{}:{}\"\ndescriptors: {}\n", host_, store_port, limits_.descriptors)
         << fmt::format("seeds: [\"{}\"]\nfleet_start: true\nbounds: [\"grace={}ms\", \"drain=2s\"]\n",
                        address(0, peer_port_offset), grace_.count);
+    if (limits_.memory_mb != 0) out << fmt::format("memory_mb: {}\n", limits_.memory_mb);
     return file;
 }
 
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -20,13 +20,21 @@
 
 namespace lacewing::testing {
 
+/// @brief Limits in the settings of the VMs.
+struct vm_limits {
+    /// As on the users' VMs.
+    int descriptors = 4'100;
+    /// Memory of a VM; 0 to leave it out of the settings.
+    int memory_mb = 0;
+};
+
 /// @brief Fake of the platform: its store and endpoints run in this process, the VMs as separate processes.
 class platform_stand_in {
 public:
     /// @param vm_count Number of VMs, placed alternately in the zones north and south of one region.
     /// @param grace Time from SIGTERM to SIGKILL that the settings of the VMs name; nothing is killed after
     /// it.
-    explicit platform_stand_in(std::size_t vm_count, time_ms grace = time_ms{6000});
+    explicit platform_stand_in(std::size_t vm_count, time_ms grace = time_ms{6000}, vm_limits limits = {});
     ~platform_stand_in();
     platform_stand_in(const platform_stand_in&) = delete;
     platform_stand_in& operator=(const platform_stand_in&) = delete;
@@ -154,6 +162,7 @@
     std::string host_;
     std::size_t vm_count_;
     time_ms grace_;
+    vm_limits limits_;
     std::vector<std::unique_ptr<child_process>> vms_;
 };
 
