Bound the memory and connections that callers hold, by one account per process

caller_memory is an account of heads, bodies, answers and buffers by connection with 0.3 of memory_mb as its budget. Over it, unfinished requests are closed by bytes times time without progress, then unread answers; what else needs more is refused with 503, as nothing of it was sent. A quarter is kept for the first 16 KB of each connection. A body must end while its caller waits and bring 64 bytes in 10 s. At the limit of connections, an unfinished request that stood still for 1 s gives way. Bodies grow with the bytes that arrive, not with the announced length. The own interface also limits callers to three quarters of its descriptors.

--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -13,6 +13,14 @@
 // Time after which a thread that has not produced its text counts as not answering.
 constexpr std::chrono::milliseconds source_timeout{2000};
 
+// Limits of the operator port, whose requests need no body.
+http_limits operator_limits() {
+    http_limits limits;
+    limits.body_bytes = std::uint64_t{4} * 1024;
+    limits.connections = 256;
+    return limits;
+}
+
 // Text that was requested from another thread.
 struct pending_text {
     explicit pending_text(asio::io_context& context) : timer(context, source_timeout) {}
@@ -47,7 +55,7 @@
                              sources answer_sources)
     : registry_(registry), sources_(std::move(answer_sources)),
       server_(std::make_unique<http_server>(
-          context_.get_executor(), listen_address, http_limits{},
+          context_.get_executor(), listen_address, operator_limits(),
           [this](http_request request) { return answer(std::move(request)); })) {}
 
 operator_port::~operator_port() {
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -32,6 +32,10 @@
 // request can be sent to a second endpoint, and a broken answer becomes an error answer instead of a cut
 // connection.
 constexpr std::size_t body_chunk_bytes = std::size_t{64} * 1024;
+// Memory for the first bytes of a body; more is added as they arrive.
+constexpr std::size_t min_chunk_bytes = std::size_t{4} * 1024;
+// Memory of a connection beside its buffers and bodies: coroutine frames, parser and socket.
+constexpr std::size_t connection_bytes = std::size_t{4} * 1024;
 // A transfer without progress for this time is aborted. Long, because the phones of fitters in the field lose
 // the network for some seconds at a time.
 constexpr std::chrono::milliseconds transfer_idle_timeout{30'000};
@@ -136,7 +140,8 @@
 class caller_session {
 public:
     caller_session(asio::ip::tcp::socket socket, serve_state& state)
-        : stream_(std::move(socket)), state_(state), registration_(state, stream_) {}
+        : stream_(std::move(socket)), state_(state), registration_(state, stream_),
+          holding_(state.memory(), [this] { reset(); }) {}
 
     asio::awaitable<void> run();
 
@@ -168,14 +173,37 @@
     asio::awaitable<void> write_json(exchange& current, int status, std::string body,
                                      std::string_view effect);
     asio::awaitable<void> discard_upload();
+    void reset();
+    bool hold(std::size_t body_bytes, memory_use use);
+    void hold_answer(std::size_t bytes);
     [[nodiscard]] bool keep_alive(const exchange& current) const;
 
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_{max_connection_buffer_bytes};
     serve_state& state_;
     connection_registration registration_;
+    caller_memory::holding holding_;
 };
 
+// Closes the connection such that the caller takes what it has of an answer for incomplete.
+void caller_session::reset() {
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream_.close();
+}
+
+// Records the memory of the connection after progress. False when it must not hold that much.
+bool caller_session::hold(std::size_t body_bytes, memory_use use) {
+    return holding_.set(connection_bytes + buffer_.capacity() + body_bytes, use, monotonic_now());
+}
+
+// Records the memory of an answer that waits for the caller.
+void caller_session::hold_answer(std::size_t bytes) {
+    if (hold(bytes, memory_use::unread_answer)) return;
+    reset();
+    throw boost::system::system_error(asio::error::connection_reset);
+}
+
 asio::awaitable<void> caller_session::run() {
     stream_.socket().set_option(asio::ip::tcp::no_delay(true));
     while (co_await serve_request()) {
@@ -212,6 +240,7 @@
         co_await write_error(current, failure->kind, failure->detail);
     }
     registration_.set_busy(false);
+    hold(0, memory_use::idle);
     co_return keep_alive(current);
 }
 
@@ -229,6 +258,7 @@
         if (failure) co_return false;
         buffer_.commit(read);
     }
+    hold(0, memory_use::unfinished_request);
     bool expired = false;
     {
         const read_timeout limit(stream_, std::chrono::milliseconds(state_.limits().header_timeout.count));
@@ -236,6 +266,7 @@
                                          asio::redirect_error(asio::use_awaitable, failure));
         expired = limit.expired();
     }
+    if (holding_.closed()) co_return false;
     current.received = monotonic_now();
     std::string detail = failure.message();
     if (!failure) {
@@ -335,12 +366,21 @@
         http::response<http::empty_body> proceed{http::status::continue_, 11};
         co_await http::async_write(stream_, proceed, asio::use_awaitable);
     }
-    current.first_chunk.resize(body_chunk_bytes);
     std::size_t size = 0;
     boost::system::error_code failure;
     try {
-        size = co_await read_body_chunk(stream_, buffer_, current.parser, current.first_chunk,
-                                        transfer_idle_timeout);
+        while (!current.parser.is_done() && size < body_chunk_bytes) {
+            // The memory follows the bytes that have arrived; the length is only announced.
+            const auto grown = std::clamp(2 * size, min_chunk_bytes, body_chunk_bytes);
+            if (!hold(grown, memory_use::unfinished_request)) {
+                current.first_chunk = {};
+                throw error(error_kind::no_capacity, "the VM is short of memory");
+            }
+            current.first_chunk.resize(grown);
+            size +=
+                co_await read_body_chunk(stream_, buffer_, current.parser,
+                                         std::span(current.first_chunk).subspan(size), transfer_idle_timeout);
+        }
     } catch (const boost::system::system_error& problem) {
         failure = problem.code();
     }
@@ -355,6 +395,7 @@
     }
     current.first_chunk.resize(size);
     current.streamed = !current.parser.is_done();
+    hold(size, current.streamed ? memory_use::unfinished_request : memory_use::in_service);
 }
 
 // Chooses an endpoint. If there is none for a further attempt, throws the failure of the earlier attempts.
@@ -481,9 +522,13 @@
     if (failure && failure != http::error::need_buffer) co_return std::nullopt;
     if (!current.streamed) co_return std::nullopt;
 
-    std::vector<char> scratch(body_chunk_bytes);
-    const auto result = co_await relay_body<true>(stream_, buffer_, current.parser, endpoint.stream,
-                                                  serializer, out, scratch, transfer_idle_timeout);
+    // The first chunk has been written and cannot be sent again, so its memory carries the others.
+    const auto result =
+        co_await relay_body<true>(stream_, buffer_, current.parser, endpoint.stream, serializer, out,
+                                  current.first_chunk, transfer_idle_timeout, [this, &current] {
+                                      return hold(current.first_chunk.size(), memory_use::unfinished_request);
+                                  });
+    if (result == relay_result::complete) hold(current.first_chunk.size(), memory_use::in_service);
     if (result != relay_result::source_failed) co_return std::nullopt;
     co_return attempt_failure{error_kind::upload_aborted, "the upload ended early"};
 }
@@ -634,9 +679,11 @@
         // The whole answer is buffered, so the slot is released before a possibly slow caller receives it.
         lease.finish(outcome);
         if (may_reuse(*answer)) state_.pool().put_idle(std::move(from), monotonic_now());
+        hold_answer(current.first_chunk.size() + chunk.size());
         co_await write_buffered_answer(out);
         co_return std::nullopt;
     }
+    hold_answer(current.first_chunk.size() + chunk.size());
     co_await stream_answer(current, *from, *answer, out, chunk);
     lease.finish(outcome);
     if (may_reuse(*answer)) state_.pool().put_idle(std::move(from), monotonic_now());
@@ -662,8 +709,10 @@
     if (failure && failure != http::error::need_buffer) throw boost::system::system_error(failure);
     const auto limit = std::min<std::chrono::milliseconds>(transfer_idle_timeout,
                                                            remaining(current.received + max_answer_duration));
-    const auto result =
-        co_await relay_body<false>(from.stream, from.buffer, answer, stream_, serializer, out, chunk, limit);
+    const auto result = co_await relay_body<false>(
+        from.stream, from.buffer, answer, stream_, serializer, out, chunk, limit, [this, &current, chunk] {
+            return hold(current.first_chunk.size() + chunk.size(), memory_use::unread_answer);
+        });
     if (result == relay_result::source_failed)
         throw error(error_kind::answer_truncated, "the answer broke off");
     if (result == relay_result::sink_failed) throw boost::system::system_error(asio::error::connection_reset);
--- a/src/daemon/serve_metrics.cpp
+++ b/src/daemon/serve_metrics.cpp
@@ -29,8 +29,21 @@
                          .Name("lacewing_retries_total")
                          .Help("Attempts beyond the first one of a request.")
                          .Register(registry)
+                         .Add({})),
+      shed_family_(prometheus::BuildCounter()
+                       .Name("lacewing_callers_shed_total")
+                       .Help("Caller connections closed or refused for lack of memory or connections.")
+                       .Register(registry)),
+      caller_memory_(prometheus::BuildGauge()
+                         .Name("lacewing_caller_memory_bytes")
+                         .Help("Memory that the connections of callers hold.")
+                         .Register(registry)
                          .Add({})) {}
 
+void serve_metrics::count_shed(std::string_view cause, std::size_t connections) {
+    shed_family_.Add({{"cause", std::string(cause)}}).Increment(static_cast<double>(connections));
+}
+
 void serve_metrics::record(std::string_view account, std::string_view route, std::optional<error_kind> kind,
                            time_ms latency) {
     const std::string_view outcome = kind ? error_answer_for(*kind).name : "answered";
--- a/src/daemon/serve_metrics.h
+++ b/src/daemon/serve_metrics.h
@@ -31,6 +31,10 @@
     void record(std::string_view account, std::string_view route, std::optional<error_kind> kind,
                 time_ms latency);
     void count_lookup() { lookup_counter_.Increment(); }
+    /// @brief Counts connections that were closed, or a request that was refused, for lack of memory or
+    /// connections.
+    void count_shed(std::string_view cause, std::size_t connections);
+    void set_caller_memory(std::size_t bytes) { caller_memory_.Set(static_cast<double>(bytes)); }
     /// @brief Counts an attempt after the first one of a request.
     void count_retry() { retry_counter_.Increment(); }
 
@@ -39,6 +43,8 @@
     prometheus::Family<prometheus::Histogram>& latency_family_;
     prometheus::Counter& lookup_counter_;
     prometheus::Counter& retry_counter_;
+    prometheus::Family<prometheus::Counter>& shed_family_;
+    prometheus::Gauge& caller_memory_;
     // Metrics by label values. Looking up labels in the registry takes a lock, which these maps avoid after
     // the first request with the same labels.
     std::unordered_map<std::string, prometheus::Counter*> request_counters_;
--- a/src/daemon/serve_state.cpp
+++ b/src/daemon/serve_state.cpp
@@ -194,9 +194,21 @@
 
 serve_state::serve_state(asio::io_context& context, const process_settings& settings, const peer_id& self,
                          std::uint64_t seed, prometheus::Registry& registry, send_function send)
-    : context_(context), settings_(settings), self_(self), send_(std::move(send)), random_(seed),
-      budgets_(std::make_unique<budget_manager>(self)), budget_timer_(context),
-      once_registry_(self.incarnation), pool_(context.get_executor()), metrics_(registry) {}
+    : context_(context), settings_(settings), memory_(caller_memory::budget_of(settings.limits.memory_mb)),
+      self_(self), send_(std::move(send)), random_(seed), budgets_(std::make_unique<budget_manager>(self)),
+      budget_timer_(context), once_registry_(self.incarnation), pool_(context.get_executor()),
+      metrics_(registry) {
+    memory_.on_shed = [this](const memory_shedding& shed) {
+        metrics_.count_shed(to_string(shed.cause), shed.connections);
+        log(log_level::warn, "callers_shed",
+            {{"cause", to_string(shed.cause)},
+             {"connections", shed.connections},
+             {"bytes", shed.bytes},
+             {"longest_stall_ms", shed.longest_stall.count},
+             {"held_before", shed.held_before},
+             {"budget", shed.budget}});
+    };
+}
 
 void serve_state::apply(std::shared_ptr<const serving_snapshot> snapshot) {
     if (snapshot_ && snapshot->revision < snapshot_->revision) {
@@ -743,6 +755,7 @@
     if (now - slots_refreshed_at_ >= slot_refresh_interval) apply_slot_shares(now);
     for (const auto& ticket : lender_.expire(now))
         finish_attempt(ticket, {attempt_outcome::neutral, {}, {}, 0});
+    metrics_.set_caller_memory(memory_.held());
     confirm_batch();
     send_move_sample(now);
     pool_.close_expired(now);
--- a/src/daemon/serve_state.h
+++ b/src/daemon/serve_state.h
@@ -3,6 +3,7 @@
 #include "coordination/admission_queue.h"
 #include "coordination/at_most_once_registry.h"
 #include "coordination/budget_manager.h"
+#include "coordination/caller_memory.h"
 #include "coordination/entry_selector.h"
 #include "coordination/retry_budget.h"
 #include "coordination/router.h"
@@ -210,6 +211,8 @@
 
     // Steps of the request path, in order. Those that refuse a request throw error with the kind to answer.
     [[nodiscard]] const limit_settings& limits() const { return settings_.limits; }
+    /// @brief Account of the memory that callers hold.
+    caller_memory& memory() { return memory_; }
     /// @brief Starts the identity of a request with its route.
     request_identity find_route(std::string_view name) const;
     /// @brief Refuses a target with a key in it, which the endpoint would see.
@@ -321,6 +324,7 @@
 
     boost::asio::io_context& context_;
     process_settings settings_;
+    caller_memory memory_;
     peer_id self_;
     send_function send_;
     std::mt19937_64 random_;
--- a/src/daemon/serve_thread.cpp
+++ b/src/daemon/serve_thread.cpp
@@ -3,6 +3,12 @@
 #include "daemon/request_path.h"
 #include "transport/ip_address.h"
 #include "transport/log.h"
+#include "transport/monotonic_clock.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <limits>
 
 namespace lacewing {
 
@@ -18,6 +24,19 @@
 constexpr int accept_backlog = 1024; // connections
 // Pause after a failed accept.
 constexpr time_ms accept_retry_delay{10};
+// Share of the file descriptors that callers may use; the others are for endpoints, peers and the store.
+constexpr double caller_descriptor_share = 0.75;
+// At the limit of connections, an unfinished request that has stood still for this long gives way to a new
+// connection.
+constexpr time_ms min_stall_before_eviction{1'000};
+
+// Number of file descriptors that callers may use.
+std::size_t caller_descriptors() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return std::numeric_limits<std::size_t>::max();
+    return static_cast<std::size_t>(static_cast<double>(limit.rlim_cur) * caller_descriptor_share);
+}
 
 } // namespace
 
@@ -52,6 +71,8 @@
 }
 
 asio::awaitable<void> serve_thread::accept_callers() {
+    const auto max_connections =
+        std::min(static_cast<std::size_t>(state_.limits().caller_connections), caller_descriptors());
     while (true) {
         boost::system::error_code failure;
         auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, failure));
@@ -60,8 +81,9 @@
             co_await state_.sleep(accept_retry_delay);
             continue;
         }
-        if (state_.open_connections() >= static_cast<std::size_t>(state_.limits().caller_connections)) {
-            log(log_level::warn, "caller_connection_limit", {{"limit", state_.limits().caller_connections}});
+        if (state_.open_connections() >= max_connections &&
+            !state_.memory().close_stalled(monotonic_now(), min_stall_before_eviction)) {
+            log(log_level::warn, "caller_connection_limit", {{"limit", max_connections}});
             continue;
         }
         asio::co_spawn(context_, serve_caller(std::move(socket), state_),
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/caller_http.h"
 #include "protocol/framing.h"
+#include "protocol/growing_body.h"
 #include "state/error_kind.h"
 #include "transport/ip_address.h"
 #include "transport/log.h"
@@ -20,7 +21,7 @@
 
 namespace {
 
-using caller_parser = http::request_parser<http::string_body>;
+using caller_parser = http::request_parser<growing_body>;
 
 // Buffer that every idle connection keeps for its next read; most requests fit into it. A connection that has
 // once filled it uses max_read_bytes from then on.
@@ -31,6 +32,16 @@
 constexpr time_ms idle_timeout_margin{1000};
 // Time without a new byte of a request body after which the request is abandoned.
 constexpr time_ms body_stall_timeout{10'000};
+// A body is also abandoned when it grows by less than this within that time. Far below what any link carries.
+constexpr std::size_t min_body_progress_bytes = 64;
+// Added to the time that a caller waits, because its clock starts earlier and bytes are on their way.
+constexpr time_ms body_time_margin{1'000};
+// At the limit of connections, an unfinished request that has stood still for this long gives way to a new
+// connection.
+constexpr time_ms min_stall_before_eviction{1'000};
+// Memory of a connection beside its buffers and bodies: coroutine frames, parser and socket.
+constexpr std::size_t connection_bytes = std::size_t{4} * 1024;
+constexpr time_ms memory_retry_after{1'000};
 // Longest time for one write to the caller, after which the connection is closed.
 constexpr time_ms write_stall_timeout{10'000};
 // After an answer in the middle of a request body, input is read and discarded for this long before the
@@ -62,6 +73,8 @@
     bool closed = false;
     /// Answer to a request that is malformed, too large or too slow.
     caller_answer refusal;
+    /// Memory of the part of the body that is buffered until the request ends.
+    std::size_t buffered_bytes = 0;
 };
 
 /// How the answer to one request is framed.
@@ -77,8 +90,21 @@
 /// consumed meanwhile.
 class caller_server::connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(tcp::socket socket, deadline_queue& deadlines)
-        : socket_(std::move(socket)), deadlines_(deadlines), read_done_(socket_.get_executor()) {}
+    connection(tcp::socket socket, deadline_queue& deadlines, std::shared_ptr<caller_memory> memory)
+        : socket_(std::move(socket)), deadlines_(deadlines), read_done_(socket_.get_executor()),
+          memory_(std::move(memory)), holding_(*memory_, [this] { give_up(); }) {}
+
+    /// @brief Records the memory that the connection holds, after progress of its request or answer.
+    /// @param request_bytes Memory of the request's body.
+    /// @return False when the account has closed the connection, or does not permit that much.
+    bool hold(std::size_t request_bytes, memory_use use) {
+        request_bytes_ = request_bytes;
+        return hold_with(0, use);
+    }
+    /// @brief Records memory of an answer that waits for the caller, beside what hold() has recorded.
+    bool hold_answer(std::size_t answer_bytes) { return hold_with(answer_bytes, memory_use::unread_answer); }
+    /// @brief Whether the account has closed the connection.
+    [[nodiscard]] bool given_up() const { return holding_.closed(); }
 
     [[nodiscard]] bool busy() const { return busy_; }
     void set_busy(bool busy) {
@@ -167,7 +193,9 @@
         std::array<asio::const_buffer, 2> parts{asio::buffer(head.data(), head.size()),
                                                 asio::buffer(body.data(), body.size())};
         error_code failure;
+        writing_ = true;
         co_await asio::async_write(socket_, parts, completion(failure));
+        writing_ = false;
         co_return !failure;
     }
 
@@ -191,6 +219,23 @@
     [[nodiscard]] bool ended() const { return ended_; }
 
 private:
+    // Ends the wait for a caller. A request of which nothing was sent can still be refused; an answer of
+    // which a part may have been written is reset.
+    void give_up() {
+        if (writing_) {
+            reset();
+            return;
+        }
+        error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_receive, ignored);
+    }
+
+    bool hold_with(std::size_t answer_bytes, memory_use use) {
+        return holding_.set(connection_bytes + buffer_.capacity() + incoming_.capacity() + request_bytes_ +
+                                answer_bytes,
+                            use, monotonic_now());
+    }
+
     // Moves the bytes of a read that has ended behind those that have not been consumed yet.
     void take_incoming(std::size_t count) {
         incoming_.commit(count);
@@ -222,6 +267,10 @@
     bool ended_ = false;
     bool expired_ = false;
     bool busy_ = false;
+    bool writing_ = false;
+    std::size_t request_bytes_ = 0;
+    std::shared_ptr<caller_memory> memory_;
+    caller_memory::holding holding_;
 };
 
 namespace {
@@ -269,6 +318,14 @@
     return answer;
 }
 
+// Refuses a request of which nothing has been sent to an endpoint.
+caller_answer memory_refusal() {
+    auto answer = plain_answer(503, "not run: this VM is short of memory\n");
+    answer.headers +=
+        fmt::format("Retry-After: {:.3f}\r\n", static_cast<double>(memory_retry_after.count) / 1000);
+    return answer;
+}
+
 std::string format_head(const caller_answer& answer, std::optional<std::uint64_t> length, bool chunked,
                         bool close) {
     std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, reason_phrase(answer.status));
@@ -296,9 +353,11 @@
         if (reading->closed || parse_buffered(parser, conn->buffer()).failure) co_return std::nullopt;
         if (parser.is_done() || !parser.get().body().empty()) break;
         if (!co_await conn->read(monotonic_now() + body_stall_timeout)) co_return std::nullopt;
+        if (!conn->hold(reading->buffered_bytes, memory_use::unfinished_request)) co_return std::nullopt;
     }
+    if (parser.is_done()) conn->hold(reading->buffered_bytes, memory_use::in_service);
     std::string piece = std::move(parser.get().body());
-    parser.get().body().clear();
+    parser.get().body() = {};
     co_return piece;
 }
 
@@ -321,7 +380,8 @@
     while (acceptor_.is_open()) {
         error_code failure;
         tcp::socket socket(context_);
-        if (connections_.size() < max_connections_ || longest_idle() != nullptr) {
+        if (connections_.size() < max_connections_ || longest_idle() != nullptr ||
+            memory_->has_stalled(monotonic_now(), min_stall_before_eviction)) {
             co_await acceptor_.async_accept(socket, completion(failure));
         }
         if (failure == asio::error::operation_aborted) co_return;
@@ -337,9 +397,11 @@
             if (const auto idle = longest_idle()) {
                 idle->close();
                 ++evicted_connections_;
+            } else {
+                memory_->close_stalled(monotonic_now(), min_stall_before_eviction);
             }
         }
-        auto accepted = std::make_shared<connection>(std::move(socket), deadlines_);
+        auto accepted = std::make_shared<connection>(std::move(socket), deadlines_, memory_);
         accepted->list_position = connections_.insert(connections_.end(), accepted);
         asio::co_spawn(context_, serve_connection(std::move(accepted)), asio::detached);
     }
@@ -356,6 +418,11 @@
         const bool more = co_await conn->read(until);
         if (!more) break;
         parsed = parse_buffered(parser, conn->buffer());
+        if (!conn->hold(parser.get().body().capacity(), memory_use::unfinished_request)) break;
+    }
+    if (conn->given_up()) {
+        reading->refusal = memory_refusal();
+        co_return read_result::refused;
     }
     if (parsed.failure) {
         reading->refusal = plain_answer(error_status(parsed.failure),
@@ -377,12 +444,16 @@
 }
 
 // Reads the body until it is complete or max_buffered_body_bytes are buffered.
-asio::awaitable<caller_server::read_result>
-caller_server::read_body(std::shared_ptr<connection> conn, std::shared_ptr<request_reading> reading) {
+asio::awaitable<caller_server::read_result> caller_server::read_body(std::shared_ptr<connection> conn,
+                                                                     std::shared_ptr<request_reading> reading,
+                                                                     time_ms until) {
     auto& parser = reading->parser;
+    const auto& body = parser.get().body();
     if (!parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         co_await conn->write("HTTP/1.1 100 Continue\r\n\r\n", {});
     }
+    auto stalls_at = monotonic_now() + body_stall_timeout;
+    std::size_t progress_from = body.size();
     for (;;) {
         // The rest of the body may have arrived with a read that was outstanding before.
         const auto parsed = parse_buffered(parser, conn->buffer());
@@ -391,12 +462,29 @@
                                             "unusable body: " + parsed.failure.message() + "\n");
             co_return read_result::refused;
         }
-        if (parser.is_done() || parser.get().body().size() >= max_buffered_body_bytes)
-            co_return read_result::complete;
-        if (!co_await conn->read(monotonic_now() + body_stall_timeout)) co_return read_result::caller_left;
+        if (parser.is_done() || body.size() >= max_buffered_body_bytes) co_return read_result::complete;
+        bool held = conn->hold(body.capacity(), memory_use::unfinished_request);
+        if (body.size() >= progress_from + min_body_progress_bytes) {
+            progress_from = body.size();
+            stalls_at = monotonic_now() + body_stall_timeout;
+        }
+        if (held) {
+            const bool more = co_await conn->read(std::min(stalls_at, until));
+            held = !conn->given_up();
+            if (held && !more) co_return read_result::caller_left;
+        }
+        if (held) continue;
+        parser.get().body() = {};
+        reading->refusal = memory_refusal();
+        co_return read_result::refused;
     }
 }
 
+// How long the buffered part of a body may take: as long as its caller waits for the answer.
+time_ms caller_server::body_time(const http::fields& fields) const {
+    return patience_ ? patience_(fields) + body_time_margin : max_body_time;
+}
+
 // Fills the request with the parsed head and the buffered body.
 void caller_server::fill_request(const std::shared_ptr<connection>& conn,
                                  const std::shared_ptr<request_reading>& reading, caller_request& request) {
@@ -407,7 +495,7 @@
     request.version = message.version();
     if (const auto length = parser.content_length()) request.length = *length;
     request.body = std::make_shared<const std::string>(std::move(message.body()));
-    message.body().clear();
+    message.body() = {};
     // While the body is incomplete, the parser keeps its fields, because it adds trailers to them.
     if (parser.is_done()) {
         request.fields = std::move(message.base());
@@ -432,6 +520,7 @@
         co_return co_await conn.write(format_head(head, length, framing.chunked, framing.close), {});
     };
     sink.write = [&conn, &framing](std::string_view piece) -> asio::awaitable<bool> {
+        if (!conn.hold_answer(piece.size())) co_return false;
         if (!framing.chunked) {
             co_return co_await conn.write({}, piece);
         }
@@ -453,6 +542,11 @@
     const auto length =
         without_body ? std::optional<std::uint64_t>() : std::optional<std::uint64_t>(answer.body.size());
     if (head_only) answer.body.clear();
+    if (!conn.hold_answer(answer.body.size())) {
+        // Promises nothing, because the request may have run.
+        conn.reset();
+        co_return false;
+    }
     co_return co_await conn.write(format_head(answer, length, false, framing.close), answer.body);
 }
 
@@ -469,7 +563,16 @@
     parser.eager(true);
     auto read = co_await read_head(conn, reading, monotonic_now() + bounds.header_timeout);
     if (read == read_result::complete) {
-        read = co_await read_body(conn, reading);
+        read = co_await read_body(conn, reading, request.arrived + body_time(parser.get()));
+    }
+    if (read == read_result::complete) {
+        reading->buffered_bytes = parser.get().body().capacity();
+        const auto use = parser.is_done() ? memory_use::in_service : memory_use::unfinished_request;
+        if (!conn->hold(reading->buffered_bytes, use)) {
+            parser.get().body() = {};
+            reading->refusal = memory_refusal();
+            read = read_result::refused;
+        }
     }
     // The caller left, or its body stalled, before anything was sent to an endpoint: only the connection is
     // closed.
@@ -514,6 +617,7 @@
         // A connection that is about to close stays busy, so that close_idle() does not cut its last answer.
         if (end != connection_action::keep) break;
         conn->set_busy(false);
+        conn->hold(0, memory_use::idle);
         connections_.splice(connections_.end(), connections_, conn->list_position);
     }
     co_await conn->shut_down(end == connection_action::close_unread);
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/caller_memory.h"
 #include "gateway/deadline_queue.h"
 #include "gateway/endpoint_attempt.h"
 #include "state/service_model.h"
@@ -54,6 +55,8 @@
 /// @brief HTTP/1.1 server for callers with persistent connections: reads requests and writes answers.
 class caller_server {
 public:
+    /// Memory of a VM whose settings name none.
+    static constexpr std::int64_t default_memory_mb = 512;
     /// Body bytes buffered before an endpoint is chosen. Only a request whose whole body is buffered can be
     /// sent to a second endpoint once its first attempt has sent anything.
     static constexpr std::size_t max_buffered_body_bytes = std::size_t{512} * 1024;
@@ -61,6 +64,10 @@
     using handler = std::function<boost::asio::awaitable<caller_answer>(caller_request&, answer_sink)>;
     /// Returns the limits of the current configuration; read again for each request.
     using bounds_source = std::function<caller_bounds()>;
+    /// Returns how long the caller waits for an answer, by the head of its request.
+    using patience_source = std::function<time_ms(const boost::beast::http::fields&)>;
+    /// Longest time for the buffered part of a body without a patience_source.
+    static constexpr time_ms max_body_time{600'000};
 
     caller_server(boost::asio::io_context& context, deadline_queue& deadlines, bounds_source bounds,
                   handler on_request);
@@ -70,6 +77,11 @@
     /// has been idle longest, or waits in the operating system's accept queue when none is idle.
     /// @throws boost::system::system_error when binding fails.
     void listen(std::string_view address, std::size_t max_connections);
+    /// @brief Abandons bodies that are not buffered when their caller waits no longer.
+    void set_patience(patience_source patience) { patience_ = std::move(patience); }
+    /// @brief Account of what the connections hold.
+    [[nodiscard]] caller_memory& memory() { return *memory_; }
+    [[nodiscard]] const caller_memory& memory() const { return *memory_; }
     /// @brief Makes every further answer close its connection.
     void begin_stop() { stopping_ = true; }
     /// @brief Closes connections that neither handle a request nor have unread bytes.
@@ -100,8 +112,9 @@
     read_next_piece(std::shared_ptr<connection> conn, std::shared_ptr<request_reading> reading);
     static boost::asio::awaitable<read_result>
     read_head(std::shared_ptr<connection> conn, std::shared_ptr<request_reading> reading, time_ms until);
-    static boost::asio::awaitable<read_result> read_body(std::shared_ptr<connection> conn,
-                                                         std::shared_ptr<request_reading> reading);
+    static boost::asio::awaitable<read_result>
+    read_body(std::shared_ptr<connection> conn, std::shared_ptr<request_reading> reading, time_ms until);
+    [[nodiscard]] time_ms body_time(const boost::beast::http::fields& fields) const;
     static void fill_request(const std::shared_ptr<connection>& conn,
                              const std::shared_ptr<request_reading>& reading, caller_request& request);
     answer_sink make_answer_sink(connection& conn, answer_framing& framing, unsigned version);
@@ -117,6 +130,10 @@
     deadline_queue& deadlines_;
     bounds_source bounds_;
     handler on_request_;
+    patience_source patience_;
+    // Shared with the connections, which may outlive the server.
+    std::shared_ptr<caller_memory> memory_ =
+        std::make_shared<caller_memory>(caller_memory::budget_of(default_memory_mb));
     boost::asio::ip::tcp::acceptor acceptor_;
     // Ordered by last use, so that the longest idle connection comes first.
     std::list<std::shared_ptr<connection>> connections_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,9 +96,24 @@
          {"previous_sent", before.sent}});
 }
 
+// Logs connections that were closed, or a request that was refused, for lack of memory or connections.
+void log_shedding(const memory_shedding& shed) {
+    log(log_level::warn, "callers_shed",
+        {{"cause", to_string(shed.cause)},
+         {"connections", shed.connections},
+         {"bytes", shed.bytes},
+         {"longest_stall_ms", shed.longest_stall.count},
+         {"held_before", shed.held_before},
+         {"budget", shed.budget}});
+}
+
+// Limits of the ports for readiness checks, lookups and metrics, whose requests need no body.
 http_limits internal_limits() {
     http_limits made;
     made.idle_timeout = time_ms{15'000};
+    made.body_bytes = std::uint64_t{4} * 1024;
+    made.body_timeout = time_ms{5'000};
+    made.connections = 256;
     return made;
 }
 
@@ -146,6 +161,11 @@
             snapshot_budget_.on_sent(text.size());
             return text;
         });
+    callers_.memory().set_budget(caller_memory::budget_of(settings.memory_mb));
+    callers_.memory().on_shed = log_shedding;
+    callers_.set_patience([](const boost::beast::http::fields& fields) {
+        return request_flow::patience(fields, platform::dialect);
+    });
     callers_.listen(
         settings.caller_listen,
         static_cast<std::size_t>(static_cast<double>(settings.descriptors) * caller_descriptor_share));
@@ -688,6 +708,13 @@
     add("lacewing_endpoints", registry_.size());
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
     add("lacewing_caller_connections", callers_.connections());
+    const auto& memory = callers_.memory();
+    add("lacewing_caller_memory_bytes", memory.held());
+    add("lacewing_caller_memory_budget_bytes", memory.budget());
+    for (const auto cause : {memory_cause::unfinished_request, memory_cause::unread_answer,
+                             memory_cause::budget_used_up, memory_cause::no_connection_left})
+        add(fmt::format("lacewing_callers_shed_total{{cause=\"{}\"}}", to_string(cause)),
+            memory.count(cause));
     add("lacewing_caller_connections_closed_for_others_total", callers_.evicted_connections());
     if (flow_.routes() != nullptr)
         add("lacewing_configuration_version", flow_.routes()->configuration().version);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -15,6 +15,9 @@
 constexpr std::string_view snapshot_path = "/snapshot/";
 // A peer in another region answers in about 120 ms.
 constexpr time_ms fetch_timeout{800};
+// Requests for snapshots have no body.
+constexpr std::uint64_t max_request_body_bytes = std::uint64_t{4} * 1024;
+constexpr std::size_t max_fetching_peers = 256; // connections
 constexpr std::uint64_t max_snapshot_bytes = std::uint64_t{8} * 1024 * 1024;
 
 udp::endpoint datagram_address(const std::string& text) {
@@ -36,7 +39,10 @@
         if (!text) co_return make_response(503, "{}");
         co_return make_response(200, std::move(*text));
     };
-    server_ = std::make_unique<http_server>(context.get_executor(), address, http_limits{}, answer);
+    http_limits limits;
+    limits.body_bytes = max_request_body_bytes;
+    limits.connections = max_fetching_peers;
+    server_ = std::make_unique<http_server>(context.get_executor(), address, limits, answer);
     asio::co_spawn(context_, receive(), asio::detached);
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -114,6 +114,15 @@
     co_return co_await forward(context, sink);
 }
 
+time_ms request_flow::patience(const http::fields& fields, const caller_dialect& dialect) {
+    try {
+        return deadline_of(fields, dialect.deadline);
+    } catch (const error&) {
+        // Refused once it has arrived.
+        return default_deadline;
+    }
+}
+
 // Finds the route, the account and the deadline of a request.
 // Throws an error whose kind is the answer to the caller.
 void request_flow::resolve_request(request_context& context) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -77,6 +77,9 @@
     /// @param sink Receives an answer that is too long to be buffered.
     boost::asio::awaitable<caller_answer> handle(caller_request& request, answer_sink sink);
 
+    /// @brief How long a caller waits for its answer, by the head of its request.
+    static time_ms patience(const boost::beast::http::fields& fields, const caller_dialect& dialect);
+
     [[nodiscard]] const request_counters& counters() const { return counters_; }
 
 private:
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -88,6 +88,10 @@
     bool expired = false;
     /// Waiting for the first byte of a request.
     bool idle = true;
+    /// A request is being handled, so the connection does not wait for its caller's bytes.
+    bool handling = false;
+    /// Start of the wait for a request, or for the rest of one.
+    std::chrono::steady_clock::time_point waiting_since = std::chrono::steady_clock::now();
 };
 
 } // namespace
@@ -105,6 +109,7 @@
     asio::awaitable<bool> reject(connection& client, error_code failure, bool in_body);
     asio::awaitable<bool> write(connection& client, http_response& response);
     void begin_stop();
+    void close_longest_waiting();
 
     tcp::acceptor acceptor;
     asio::steady_timer all_closed_signal;
@@ -137,12 +142,25 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), failure);
+        if (limits.connections != 0 && open_connections.size() >= limits.connections) close_longest_waiting();
         auto client = std::make_shared<connection>(std::move(socket));
         open_connections.insert(client);
         asio::co_spawn(acceptor.get_executor(), serve_connection(std::move(client)), asio::detached);
     }
 }
 
+// Closes the connection that has waited longest for bytes of its caller.
+void http_server::shared_state::close_longest_waiting() {
+    const std::shared_ptr<connection>* longest = nullptr;
+    for (const auto& client : open_connections) {
+        if (client->handling || !client->socket.is_open()) continue;
+        if (longest == nullptr || client->waiting_since < (*longest)->waiting_since) longest = &client;
+    }
+    if (longest == nullptr) return;
+    error_code ignored;
+    (*longest)->socket.close(ignored);
+}
+
 // Serves the requests of one connection in order.
 asio::awaitable<void> http_server::shared_state::serve_connection(std::shared_ptr<connection> client) {
     const auto self = shared_from_this();
@@ -167,6 +185,7 @@
     if (client.buffer.size() > 0) co_return true;
     if (stopping) co_return false;
     client.idle = true;
+    client.waiting_since = std::chrono::steady_clock::now();
     client.start_phase_timer(first_request ? limits.header_timeout : limits.idle_timeout, false);
     error_code failure;
     const auto space = client.buffer.prepare(4096);
@@ -198,6 +217,7 @@
         co_return co_await reject(client, failure, true);
     }
     client.stop_phase_timer();
+    client.handling = true;
 
     http_request request = parser.release();
     const bool keep_alive = request.keep_alive();
@@ -249,6 +269,7 @@
     error_code failure;
     co_await http::async_write(client.socket, response, await_with_error(failure));
     client.stop_phase_timer();
+    client.handling = false;
     co_return !failure && response.keep_alive();
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -35,6 +35,9 @@
     /// Longest time between two requests on one connection.
     time_ms idle_timeout{60000};
     time_ms write_timeout{30000};
+    /// Most open connections; 0 for no limit. At the limit, a new one replaces the one that has waited
+    /// longest for bytes of its caller.
+    std::size_t connections = 0;
 };
 
 /// @brief Thrown by a handler to close the connection without a response.
--- a/src/transport/relay.h
+++ b/src/transport/relay.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <span>
 
 namespace lacewing {
@@ -24,6 +25,8 @@
 /// @param outgoing Message of the serializer.
 /// @param scratch Memory for one chunk.
 /// @param idle_limit Longest time for reading or writing one chunk.
+/// @param on_chunk Called before each chunk is read; when it returns false, the relay ends as if the source
+/// had failed. May be empty.
 template <bool IsRequest>
 boost::asio::awaitable<relay_result>
 relay_body(boost::beast::tcp_stream& source, boost::beast::flat_buffer& buffer,
@@ -31,10 +34,12 @@
            boost::beast::tcp_stream& sink,
            boost::beast::http::serializer<IsRequest, boost::beast::http::buffer_body>& serializer,
            boost::beast::http::message<IsRequest, boost::beast::http::buffer_body>& outgoing,
-           std::span<char> scratch, std::chrono::milliseconds idle_limit) {
+           std::span<char> scratch, std::chrono::milliseconds idle_limit,
+           std::function<bool()> on_chunk = {}) {
     namespace asio = boost::asio;
     namespace http = boost::beast::http;
     while (!parser.is_done()) {
+        if (on_chunk && !on_chunk()) co_return relay_result::source_failed;
         auto& incoming = parser.get().body();
         incoming.data = scratch.data();
         incoming.size = scratch.size();
--- a/tests/caller_server_test.cpp
+++ b/tests/caller_server_test.cpp
@@ -222,3 +222,80 @@
         CHECK(accepted < max_accepted_bytes);
     }
 }
+
+// Guards against many bodies that are left open just before their end (issue 46).
+TEST_CASE("caller server: unfinished bodies hold more memory than the budget, or others are not served") {
+    constexpr std::size_t budget = std::size_t{1024} * 1024;
+    constexpr std::size_t body_bytes = 100'000;
+    server_fixture fixture(100);
+    fixture.server.memory().set_budget(budget);
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
+    for (int i = 0; i < 40; ++i) {
+        sockets.push_back(fixture.connect());
+        const auto head =
+            fmt::format("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", body_bytes);
+        asio::write(*sockets.back(), asio::buffer(head + std::string(body_bytes - 1, 'x')));
+        for (int turn = 0; turn < 30; ++turn)
+            fixture.context.run_one_for(std::chrono::milliseconds(1));
+        CHECK(fixture.server.memory().held() <= budget);
+    }
+    CHECK(fixture.server.memory().count(memory_cause::unfinished_request) > 0);
+    auto ordinary = fixture.connect();
+    CHECK(fixture.ask(*ordinary, "/x") == "HTTP/1.1 200 OK");
+    int refused = 0;
+    for (const auto& socket : sockets) {
+        if (socket->available() > 0 && fixture.receive(*socket) == "HTTP/1.1 503 Service Unavailable")
+            ++refused;
+    }
+    CHECK(refused > 0);
+}
+
+TEST_CASE("caller server: a body within the limits is refused though no other is there") {
+    constexpr std::size_t body_bytes = 600'000;
+    server_fixture fixture(4);
+    fixture.server.memory().set_budget(std::size_t{2} * 1024 * 1024);
+    auto socket = fixture.connect();
+    const auto head = fmt::format("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", body_bytes);
+    const std::string text = head + std::string(body_bytes, 'x');
+    bool written = false;
+    asio::async_write(*socket, asio::buffer(text),
+                      [&](boost::system::error_code, std::size_t) { written = true; });
+    CHECK(fixture.receive(*socket) == "HTTP/1.1 200 OK");
+    socket->close();
+    while (!written)
+        fixture.context.run_one();
+}
+
+TEST_CASE("caller server: a body that does not end while its caller waits keeps its connection") {
+    server_fixture fixture(4);
+    fixture.server.set_patience([](const boost::beast::http::fields&) { return time_ms{-990}; });
+    auto socket = fixture.connect();
+    asio::write(*socket,
+                asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")));
+    CHECK(fixture.receive(*socket) == "closed");
+}
+
+TEST_CASE("caller server: unfinished bodies keep new callers out at the limit of connections") {
+    server_fixture fixture(3);
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
+    for (int i = 0; i < 3; ++i) {
+        sockets.push_back(fixture.connect());
+        asio::write(*sockets.back(),
+                    asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")));
+    }
+    auto late = fixture.connect();
+    fixture.send(*late, "/x");
+    std::string answer = "silent";
+    for (int i = 0; i < 5 && answer == "silent"; ++i)
+        answer = fixture.receive(*late);
+    CHECK(answer == "HTTP/1.1 200 OK");
+    CHECK(fixture.server.memory().count(memory_cause::no_connection_left) == 1);
+}
+
+TEST_CASE("caller server: the body of an announced length over the limit is read before it is refused") {
+    server_fixture fixture(4);
+    auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(std::string(
+                             "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n")));
+    CHECK(fixture.receive(*socket) == "HTTP/1.1 413 Payload Too Large");
+}
