Decide at one place what makes an answer complete, and reject statuses that are none

A status below 200, 000 and 099 among them, counted as an interim answer and 600 to 999 as a final one, on the platform interface, on the own one, and in the client of the store.

answer_end.h holds the rule for both interfaces: by length and chunks the last byte, without a length an orderly close after the whole request was written; a status outside of 100 to 599 breaks the answer, whose outcome is unknown. The own interface still takes no answer without a length.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -6,6 +6,7 @@
 
 #include "coordination/send_ledger.h"
 #include "daemon/lookup_answer.h"
+#include "protocol/answer_end.h"
 #include "protocol/caller_http.h"
 #include "protocol/framing.h"
 #include "transport/log.h"
@@ -545,8 +546,10 @@
         answer->skip(head_request);
         co_await http::async_read_header(from.stream, from.buffer, *answer,
                                          asio::redirect_error(asio::use_awaitable, failure));
-        if (failure || http::to_status_class(answer->get().result()) != http::status_class::informational)
-            co_return failure;
+        if (failure) co_return failure;
+        const auto kind = kind_of_status(answer->get().result_int());
+        if (kind == status_kind::invalid) co_return http::error::bad_status;
+        if (kind == status_kind::final) co_return failure;
     }
     co_return http::error::bad_status;
 }
@@ -596,8 +599,8 @@
         return attempt_failure{error_kind::endpoint_refused, "the endpoint refused the request unexecuted",
                                true};
     }
-    if (answer.need_eof()) {
-        // Without a length, the end of the answer looks like a broken connection.
+    if (delimiter_of(answer) == answer_delimiter::connection_end) {
+        // The caller gets the answer before its end is known to be orderly.
         lease.finish(attempt_outcome::failure);
         return attempt_failure{error_kind::answer_truncated, "the endpoint sent an answer without a length"};
     }
--- a/src/fakes/endpoint/endpoint_behaviour.cpp
+++ b/src/fakes/endpoint/endpoint_behaviour.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, answer_fault>, 13> answer_fault_names{{
+constexpr std::array<std::pair<std::string_view, answer_fault>, 14> answer_fault_names{{
     {"none", answer_fault::none},
     {"reset_before_answer", answer_fault::reset_before_answer},
     {"reset_in_answer", answer_fault::reset_in_answer},
@@ -25,6 +25,7 @@
     {"endless_chunk_extension", answer_fault::endless_chunk_extension},
     {"endless_trailers", answer_fault::endless_trailers},
     {"wrong_length", answer_fault::wrong_length},
+    {"invalid_status", answer_fault::invalid_status},
     {"late", answer_fault::late},
     {"repeat_previous", answer_fault::repeat_previous},
 }};
--- a/src/fakes/endpoint/endpoint_behaviour.h
+++ b/src/fakes/endpoint/endpoint_behaviour.h
@@ -31,6 +31,8 @@
     endless_trailers,
     /// More bytes than the declared length: a second answer follows that nobody asked for.
     wrong_length,
+    /// The status is 000, 099, 600 or 999, one after the other.
+    invalid_status,
     /// The answer is delayed.
     late,
     /// The endpoint writes its previous answer or refusal on the connection once more when it has read the
--- a/src/fakes/endpoint/fake_endpoint.cpp
+++ b/src/fakes/endpoint/fake_endpoint.cpp
@@ -397,6 +397,11 @@
     text << response;
     std::string bytes = text.str();
     if (fault == answer_fault::wrong_length) bytes += "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign";
+    if (fault == answer_fault::invalid_status) {
+        static constexpr std::array<std::string_view, 4> invalid{"000", "099", "600", "999"};
+        constexpr std::size_t status_position = 9; // after "HTTP/1.1 "
+        bytes.replace(status_position, 3, invalid[executed_ % invalid.size()]);
+    }
     if (fault == answer_fault::truncated_head) bytes.resize(bytes.find("\r\n\r\n") / 2);
     if (fault == answer_fault::truncated || fault == answer_fault::reset_in_answer) {
         bytes.resize(bytes.size() - response.body().size() / 2);
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -59,6 +59,12 @@
     return *length;
 }
 
+// How a read that brought no bytes ended the answer. The attempt closes the connection when its time is over.
+answer_end end_of(error_code failure) {
+    if (failure == asio::error::eof) return answer_end::closed;
+    return failure == asio::error::operation_aborted ? answer_end::timed_out : answer_end::reset;
+}
+
 // Whether an answer names the request that it belongs to.
 bool has_attempt_id(const http::fields& fields, const caller_dialect& dialect, std::string_view attempt_id) {
     return !attempt_id.empty() && fields[dialect.attempt_id] == attempt_id;
@@ -164,6 +170,10 @@
     state->failed = state->failed || failure;
 }
 
+request_progress endpoint_attempt::progress() const {
+    return request_write_->done ? request_progress::written : request_progress::unfinished;
+}
+
 asio::awaitable<bool> endpoint_attempt::read_more(error_code& failure) {
     auto& buffer = connection_->buffer;
     const auto wanted = last_read_full_ ? max_read_bytes : initial_read_bytes;
@@ -216,7 +226,12 @@
             if (parser.is_header_done() && !head_checked) {
                 head_checked = true;
                 const auto& head = parser.get();
-                interim = head.result_int() < 200;
+                const auto kind = kind_of_status(head.result_int());
+                if (kind == status_kind::invalid) {
+                    result.reason = fmt::format("{} is not the status of an answer", head.result_int());
+                    co_return result;
+                }
+                interim = kind == status_kind::interim;
                 const auto echoed = head[dialect_.attempt_id];
                 // An answer with another id belongs to an earlier request on this connection. Only an error
                 // answer may lack the id, and only on a new connection can it not be a late one.
@@ -262,7 +277,8 @@
             if (parser.is_done()) break;
             if (buffer.size() > 0 && !failure) continue;
             if (co_await read_more(failure)) continue;
-            if (failure == asio::error::eof && parser.is_header_done() && parser.need_eof()) {
+            if (parser.is_header_done() &&
+                is_complete_answer(delimiter_of(parser), end_of(failure), progress())) {
                 reusable_ = false;
                 failure = {};
                 parser.put_eof(failure);
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -2,6 +2,7 @@
 
 #include "coordination/endpoint_selector.h"
 #include "gateway/deadline_queue.h"
+#include "protocol/answer_end.h"
 #include "protocol/caller_dialect.h"
 #include "state/time_ms.h"
 #include "transport/endpoint_connection_pool.h"
@@ -115,6 +116,7 @@
     static boost::asio::awaitable<void> write_request(std::shared_ptr<request_write> state);
     boost::asio::awaitable<endpoint_result> read_answer(const answer_sink& sink);
     boost::asio::awaitable<bool> read_more(boost::system::error_code& failure);
+    [[nodiscard]] request_progress progress() const;
     void return_to_pool(const boost::beast::http::fields& fields);
 
     endpoint_connection_pool& pool_;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client.h"
 
+#include "protocol/answer_end.h"
 #include "protocol/framing.h"
 #include "transport/ip_address.h"
 #include "transport/reset_on_close.h"
@@ -111,9 +112,9 @@
         read->body_limit(options.max_response_bytes);
         if (request.method() == http::verb::head) read->skip(true);
         co_await http::async_read(connection->stream, connection->buffer, *read, await_with_error(failure));
-        if (failure || read->get().result_int() >= 200) break;
+        if (failure || kind_of_status(read->get().result_int()) != status_kind::interim) break;
     }
-    if (!failure && read->get().result_int() < 200)
+    if (!failure && kind_of_status(read->get().result_int()) != status_kind::final)
         throw_failure(http_failure::malformed_answer, "reading the response", http::error::bad_status);
     auto& parser = *read;
     // What has silenced one connection may have silenced the pooled ones as well.
@@ -127,6 +128,10 @@
         throw_failure(connection_ended ? http_failure::closed : http_failure::malformed_answer,
                       "reading the response", failure);
     }
+    if (delimiter_of(parser) == answer_delimiter::connection_end &&
+        !is_complete_answer(answer_delimiter::connection_end, answer_end::closed,
+                            write_failure ? request_progress::unfinished : request_progress::written))
+        throw_failure(http_failure::closed, "sending the request", write_failure);
     http_response response = parser.release();
     if (!write_failure && response.keep_alive() && connection->buffer.size() == 0 &&
         idle.size() < options.max_idle_connections) {
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -302,6 +302,51 @@
     CHECK(fixture.endpoint.connections == 2);
 }
 
+// Guards against MIXED (issue 46): an upstream in trouble sends a status that is none. The bytes after its
+// head belong to nothing, so they must not be read as the next head either.
+TEST_CASE("endpoint attempt: an answer without a valid status is delivered or skipped") {
+    for (const auto* status : {"000", "001", "099", "600", "999"}) {
+        for (const bool named : {true, false}) {
+            CAPTURE(status);
+            CAPTURE(named);
+            const std::string id_line = named ? "X-Lacewingplank-Attempt-Id: a1\r\n" : "";
+            const auto none = fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status, id_line,
+                                          answer("own").size(), answer("own"));
+            attempt_fixture fixture({{none}, {answer("next")}});
+            const auto result = fixture.run();
+            CHECK(result.outcome == attempt_end::broken);
+            CHECK_FALSE(result.answer);
+            CHECK_FALSE(result.unsent);
+            CHECK(fixture.run().answer->body == "next");
+            CHECK(fixture.endpoint.connections == 2);
+        }
+    }
+}
+
+// Guards against MIXED (issue 46): the reset is reported to the write of the upload, after which a read sees
+// what looks like the orderly end of an answer without a length.
+TEST_CASE("endpoint attempt: an answer without a length is complete though its upload was not written") {
+    constexpr auto buffered = endpoint_attempt::max_buffered_answer_bytes;
+    for (const std::size_t size : {std::size_t{100}, buffered + 1}) {
+        for (const bool reset : {true, false}) {
+            for (int round = 0; round < 10; ++round) {
+                CAPTURE(size);
+                CAPTURE(reset);
+                const auto part = framed_answer(body_framing::close, std::string(size, 'x'));
+                attempt_fixture fixture({{part, !reset, reset}, {answer("next")}});
+                fixture.patience = time_ms{3000};
+                const auto result = fixture.run([]() -> asio::awaitable<std::optional<std::string>> {
+                    constexpr std::size_t piece_bytes = 64 * 1024;
+                    co_return std::string(piece_bytes, 'u');
+                });
+                CHECK(result.outcome != attempt_end::answered);
+                CHECK_FALSE(result.stream_complete);
+                CHECK_FALSE(result.unsent);
+            }
+        }
+    }
+}
+
 TEST_CASE("endpoint attempt: an interim answer ends the request or its connection") {
     attempt_fixture fixture(
         {{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answer("own")}, {answer("next")}});
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,10 +1,13 @@
 #include "http_test_support.h"
+#include "scripted_endpoint.h"
 
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
+
 #include <memory>
 #include <optional>
 
@@ -118,6 +121,27 @@
     CHECK(body == "finished");
 }
 
+// Guards against MIXED (issue 46): a status that is none counts as a response, or as an interim one.
+TEST_CASE("http client: a response without a valid status is returned or skipped") {
+    for (const auto* status : {"000", "099", "600", "999"}) {
+        CAPTURE(status);
+        asio::io_context loop;
+        const std::string none = fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", status);
+        testing::scripted_endpoint server(loop,
+                                          {{none + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"}});
+        http_client client(loop.get_executor(), server.address());
+        std::optional<http_failure> failure;
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            try {
+                co_await client.request("GET", "/", {}, "", time_ms{2000});
+            } catch (const http_error& failed) {
+                failure = failed.failure();
+            }
+        });
+        CHECK(failure == http_failure::malformed_answer);
+    }
+}
+
 // Guards against failures that callers cannot tell apart: the kind of failure decides whether the server may
 // have executed the request.
 TEST_CASE("http client reports the kind of failure") {
--- a/tests/system/answer_integrity_test.cpp
+++ b/tests/system/answer_integrity_test.cpp
@@ -97,6 +97,21 @@
 
 } // namespace
 
+// Guards against MIXED (issue 46): bytes whose status is none reach a caller as an answer.
+TEST_CASE("answers: an answer without a valid status is forwarded, or followed by another one") {
+    auto& system = shared_deployment();
+    REQUIRE(system.reset_endpoint_behaviour());
+    system.set_endpoint_behaviour(R"({"answer_fault":"invalid_status"})");
+    for (int i = 0; i < 16; ++i) {
+        const auto answer = system.send_to_vm(1, "/r/scans/x", system.office_key());
+        CAPTURE(answer.status);
+        CHECK(answer.status == 502);
+        CHECK(answer.error() == "endpoint_failed");
+        CHECK(answer.header("X-Lacewing-Effect") == "outcome_unknown");
+    }
+    CHECK(system.reset_endpoint_behaviour());
+}
+
 TEST_CASE("answers: a damaged answer is forwarded as a complete one or marked as not run") {
     auto& system = shared_deployment();
     REQUIRE(system.reset_endpoint_behaviour());
