--- a/src/state/gateway_settings.h
+++ b/src/state/gateway_settings.h
@@ -71,6 +71,8 @@
     std::uint32_t processor_millicores = 0;
     /// Bandwidth of this VM's link, in Mbit/s; 0 if unknown.
     std::uint32_t link_mbps = 0;
+    /// Memory of the VM in MB, of which callers may hold a part; see caller_memory.
+    std::int64_t memory_mb = 512;
     /// Values of service_bounds as texts "name=value" with the names of the platform, not decoded yet.
     std::vector<std::string> encoded_bounds;
     /// Maximum number of log lines per second; further lines are dropped and counted.
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -25,6 +25,7 @@
 processor_share: 0.2
 processor_cores: 2
 link_mbps: 12.5
+memory_mb: 160
 bounds: ["drain=2s"]
 )";
 
@@ -38,6 +39,7 @@
     CHECK(settings.seeds.size() == 1);
     CHECK(settings.fleet_start);
     CHECK(settings.descriptors < 4100);
+    CHECK(settings.memory_mb == 160);
     CHECK(settings.processor_millicores == 400);
     CHECK(settings.link_mbps == 13);
 }
@@ -71,5 +73,6 @@
     CHECK(rejected_field("4100", "10") == "descriptors|f");
     CHECK(rejected_field("link_mbps: 12.5", "link_mbps: -1") == "link_mbps|f");
     CHECK(rejected_field("processor_share: 0.2", "processor_share: half") == "processor_share|f");
+    CHECK(rejected_field("memory_mb: 160", "memory_mb: 8") == "memory_mb|f");
     CHECK(rejected_field("fleet_start", "fleet_begin") == "fleet_begin|f");
 }
