--- a/src/coordination/usage_duty.cpp
+++ b/src/coordination/usage_duty.cpp
@@ -213,10 +213,11 @@
     for (const auto source : live_)
         seen_[source] = now;
     std::erase_if(seen_, [now](const auto& entry) { return now - entry.second > seen_lifetime; });
-    if (!fleet_.isolated)
+    if (!fleet_.isolated) {
         isolated_since_.reset();
-    else if (!isolated_since_)
+    } else if (!isolated_since_) {
         isolated_since_ = now;
+    }
 }
 
 usage_duty::outgoing usage_duty::step(time_ms now, time_ms time_of_day) {
--- a/tests/usage_duty_simulation.cpp
+++ b/tests/usage_duty_simulation.cpp
@@ -191,8 +191,9 @@
     }
 }
 
-void usage_duty_simulation::deliver(std::size_t from, usage_duty::outgoing messages) {
-    for (auto& [address, message] : messages) {
+void usage_duty_simulation::deliver(std::size_t from, const usage_duty::outgoing& messages) {
+    for (const auto& [receiver, message] : messages) {
+        const auto& address = receiver;
         const auto found =
             std::find_if(vms_.begin(), vms_.end(), [&](const vm_state& vm) { return vm.address == address; });
         if (found == vms_.end()) continue;
@@ -202,7 +203,7 @@
             if (now_ < vms_[from].peer_cut_until || now_ < found->peer_cut_until) continue;
         }
         for_process(to, found->incarnation, now_ + (to == from ? 0 : draw(1, 60)),
-                    [this, to, message = std::move(message)](vm_state& vm) {
+                    [this, to, message = message](vm_state& vm) {
                         deliver(to, vm.duty->on_message(steady(vm, now_), message));
                     });
     }
@@ -428,9 +429,10 @@
         }
         const bool on_time = found->second <= end_of(window) + late_ms;
         if (on_time) ++outcome_.windows_on_time;
-        if (!on_time && !excused && near < 2)
+        if (!on_time && !excused && near < 2) {
             fail(fmt::format("window {} was reported {} ms after its end", window,
                              found->second - end_of(window)));
+        }
         if (inexact_.contains(window) || near > 0) continue;
         for (const auto& [account, count] : truth_[window]) {
             const auto reported = accepted_[window][account];
--- a/tests/usage_duty_simulation.h
+++ b/tests/usage_duty_simulation.h
@@ -74,7 +74,7 @@
                      std::function<void(vm_state&)> run);
     void start(std::size_t index);
     void tick(std::size_t index, std::uint64_t incarnation);
-    void deliver(std::size_t from, usage_duty::outgoing messages);
+    void deliver(std::size_t from, const usage_duty::outgoing& messages);
     void call_store(std::size_t index, const duty_lease::action& action);
     void answer_store_call(std::size_t index, std::uint64_t incarnation, const duty_lease::action& action,
                            bool answered);
