Try admission under overload without waiting

Trial of one part alone: nobody waits at the VM, so only the order in which requests yield in the last free places and the turns to come back remain.

--- a/src/coordination/overload_control.cpp
+++ b/src/coordination/overload_control.cpp
@@ -41,7 +41,7 @@
 // Requests wait only while at least this share of the requests of their priority is sent, without those of
 // accounts beyond their share. With less, new requests want every slot, and one that has waited would only
 // take the place of one with more time left.
-constexpr double min_waiting_share = 0.8;
+constexpr double min_waiting_share = 2;
 // Part of the slots that is planned for callers that return.
 constexpr double returning_fraction = 0.5;
 constexpr double min_return_rate_per_s = 0.5;
