Try admission under overload with account shares alone

Trial of one part alone: only accounts beyond their share and callers that return early yield in the last free places; the selector's return times stay.

--- a/src/coordination/overload_control.cpp
+++ b/src/coordination/overload_control.cpp
@@ -263,12 +263,6 @@
         group.accounts[asked.account].served.sent_share(now) > min_account_share * all_share) {
         return overload_reason::over_share;
     }
-    if (priority.served.sent_share(now) <= min_priority_share * all_share) return std::nullopt;
-    for (std::size_t lane = 0; lane < asked.lane; ++lane) {
-        if (!suffers(now, group.by_lane.at(lane), first_sent_share)) continue;
-        if (lane / 2 == asked.priority) return overload_reason::past_goal;
-        if (!asked.returned) return overload_reason::less_urgent;
-    }
     return std::nullopt;
 }
 
@@ -314,11 +308,11 @@
         send(now, group, asked);
         return {ruling::send, {}, {}};
     }
-    if (!outlook.found && !outlook.may_wait)
-        return refuse(now, group, asked, overload_reason::no_slot_in_time);
-    if (asked.yields) return refuse(now, group, asked, *asked.yields);
-    if (asked.waiting) return {ruling::wait, {}, {}};
-    return enqueue(now, group, asked);
+    if (!outlook.found) {
+        const auto reason = asked.yields.value_or(overload_reason::no_slot_in_time);
+        return refuse(now, group, asked, reason, outlook.retry_after);
+    }
+    return refuse(now, group, asked, *asked.yields);
 }
 
 // Lets a request wait if a slot is expected in time, and refuses it at once otherwise.
@@ -404,11 +398,12 @@
 }
 
 overload_control::verdict overload_control::refuse(time_ms now, slot_group& group, ticket& asked,
-                                                   overload_reason reason) {
+                                                   overload_reason reason,
+                                                   std::optional<time_ms> return_after) {
     remove(now, group, asked);
     ++totals_.refused.at(static_cast<std::size_t>(reason));
     if (auto* row = row_of(asked.request)) ++row->refused.at(static_cast<std::size_t>(reason));
-    const auto wait = return_time(now, group, asked);
+    const auto wait = return_after ? *return_after : return_time(now, group, asked);
     record_offer(asked, now + wait);
     return {ruling::refuse, reason, wait};
 }
--- a/src/coordination/overload_control.h
+++ b/src/coordination/overload_control.h
@@ -96,6 +96,8 @@
     bool may_wait = false;
     /// Time from the sending at a free slot until the answer.
     time_ms service_time{0};
+    /// When a caller that finds no slot should come back.
+    time_ms retry_after{0};
 };
 
 /// @brief Admission under overload on one VM: who is sent to an endpoint, who waits, and who is refused when
@@ -264,7 +266,8 @@
                                                                    const ticket& asked);
     [[nodiscard]] static std::size_t lane_of(const slot_group& group, const ticket& asked);
     verdict enqueue(time_ms now, slot_group& group, ticket& asked);
-    verdict refuse(time_ms now, slot_group& group, ticket& asked, overload_reason reason);
+    verdict refuse(time_ms now, slot_group& group, ticket& asked, overload_reason reason,
+                   std::optional<time_ms> return_after = {});
     void send(time_ms now, slot_group& group, ticket& asked);
     void remove(time_ms now, slot_group& group, ticket& asked);
     void advance(time_ms now, slot_group& group);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -294,6 +294,7 @@
     outlook.may_wait =
         !choice.no_usable_endpoint && choice.limited_endpoints == 0 && choice.paused_endpoints == 0;
     outlook.service_time = choice.expected - choice.wait;
+    outlook.retry_after = choice.retry_after;
     auto decision = overload_.on_outlook(now, *context.ticket, outlook);
     // Pauses and limits of endpoints last as long as the endpoints have said.
     if (!outlook.found && !outlook.may_wait) decision.retry_after = choice.retry_after;
