--- a/src/coordination/overload_control.cpp
+++ b/src/coordination/overload_control.cpp
@@ -263,6 +263,12 @@
         group.accounts[asked.account].served.sent_share(now) > min_account_share * all_share) {
         return overload_reason::over_share;
     }
+    if (priority.served.sent_share(now) <= min_priority_share * all_share) return std::nullopt;
+    for (std::size_t lane = 0; lane < asked.lane; ++lane) {
+        if (!suffers(now, group.by_lane.at(lane), first_sent_share)) continue;
+        if (lane / 2 == asked.priority) return overload_reason::past_goal;
+        if (!asked.returned) return overload_reason::less_urgent;
+    }
     return std::nullopt;
 }
 
--- a/tests/contested_service.h
+++ b/tests/contested_service.h
@@ -193,7 +193,7 @@
             choice = own.selector.choose(now, query_of(asked.from), nullptr);
             decision = own.control.on_outlook(now, asked.ticket,
                                               {choice.endpoint != nullptr, choice.scarce,
-                                               !choice.no_usable_endpoint, choice.expected - choice.wait});
+                                               !choice.no_usable_endpoint, choice.expected - choice.wait, choice.retry_after});
         }
         if (decision.what == overload_control::ruling::wait) return false;
         if (decision.what == overload_control::ruling::refuse) {
