--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -60,8 +60,6 @@
 // below this fraction of the slots alone.
 constexpr double shared_capacity_fraction = 0.8;
 constexpr double shared_slots_fraction = 0.95;
-// From this part of that load on, free places count as scarce.
-constexpr double scarce_fraction = 0.85;
 // Requests that are restricted to a region and refused there raise the cost of that region for unrestricted
 // requests: weight of each result, and half-life of the estimate.
 constexpr double refusal_share_weight = 0.1;
@@ -369,7 +367,6 @@
     const bool within_own_share =
         total.own_in_flight < capacity / static_cast<double>(fleet) || total.load < shared_limit;
     const bool has_capacity = within_own_share && !best->full;
-    choice.scarce = total.load >= scarce_fraction * shared_limit;
     if (region_restricted(request))
         record_restricted_request(now, request, best->endpoint->region, has_capacity);
     if (in_time && has_capacity) {
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -65,8 +65,6 @@
     time_ms retry_after{0};
     /// The service has no usable endpoint for this request, whatever the load.
     bool no_usable_endpoint = false;
-    /// The known load leaves only few free places.
-    bool scarce = false;
     /// Regions with a usable endpoint that the limit on shifts between regions left out.
     std::size_t limited_regions = 0;
     /// Usable endpoints that take no further request now, because of the limits that they have named.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -516,7 +516,6 @@
         }
         if (flow_.routes() == nullptr) continue;
         log_shifts(now);
-        overload_log_.write(flow_.overload());
         std::vector<std::string> services;
         for (const auto& [name, service] : flow_.routes()->configuration().services)
             services.push_back(name);
@@ -663,7 +662,6 @@
         const auto count = counted.refused[static_cast<std::size_t>(row.kind)];
         if (count != 0) out += fmt::format("lacewing_refused_total{{kind=\"{}\"}} {}\n", row.name, count);
     }
-    add_overload_metrics(out, flow_.overload());
     std::uint64_t cumulative = 0;
     for (std::size_t i = 0; i < counted.latency_counts.size(); ++i) {
         cumulative += counted.latency_counts[i];
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,7 +10,6 @@
 #include "coordination/version_mover.h"
 #include "gateway/caller_server.h"
 #include "gateway/deadline_queue.h"
-#include "gateway/overload_metrics.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/request_flow.h"
 #include "gateway/store_mirror.h"
@@ -109,7 +108,6 @@
     // How late the event loop handles events, as last measured; 0 when it is small.
     time_ms loop_lag_{0};
     bool leaving_ = false;
-    overload_log overload_log_;
 };
 
 } // namespace lacewing
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -31,8 +31,6 @@
 constexpr time_ms min_retry_time{30};
 // Retry-After of a process without a configuration, which expects one soon.
 constexpr time_ms configuration_retry_after{300};
-// A request whose turn it is looks for a free slot at least this often: other VMs free slots too.
-constexpr time_ms slot_poll_interval{25};
 // Retry-After of a stopping process.
 constexpr time_ms stop_retry_after{50};
 
@@ -89,39 +87,6 @@
     endpoint_attempt* attempt_;
 };
 
-/// Keeps the timer of a request that waits for a slot in a map for the scope.
-class timer_registration {
-public:
-    using timer_map = std::unordered_map<std::uint64_t, asio::steady_timer*>;
-    timer_registration(timer_map& timers, std::uint64_t id, asio::steady_timer& timer)
-        : timers_(timers), id_(id) {
-        timers_[id_] = &timer;
-    }
-    ~timer_registration() { timers_.erase(id_); }
-    timer_registration(const timer_registration&) = delete;
-    timer_registration& operator=(const timer_registration&) = delete;
-    timer_registration(timer_registration&&) = delete;
-    timer_registration& operator=(timer_registration&&) = delete;
-
-private:
-    timer_map& timers_;
-    std::uint64_t id_;
-};
-
-// Whether requests of a configuration can differ in how urgent they are.
-bool has_priorities(const service_configuration& configuration) {
-    std::optional<int> first;
-    const auto differs = [&first](int priority) {
-        if (!first) first = priority;
-        return *first != priority;
-    };
-    for (const auto& route : configuration.routes) {
-        if (differs(route.priority)) return true;
-    }
-    return std::any_of(configuration.accounts.begin(), configuration.accounts.end(),
-                       [&](const auto& account) { return account.priority && differs(*account.priority); });
-}
-
 } // namespace
 
 request_flow::request_flow(deadline_queue& deadlines, endpoint_connection_pool& pool,
@@ -129,23 +94,7 @@
                            endpoint_selector& selector, account_limiter& limiter, repeat_budget& repeats,
                            version_mover& moves, std::uint64_t seed)
     : deadlines_(deadlines), pool_(pool), dialect_(dialect), registry_(registry), selector_(selector),
-      limiter_(limiter), repeats_(repeats), moves_(moves), random_(seed), overload_(seed + 1) {
-    overload_.on_wake = [this](std::uint64_t id) {
-        const auto found = waiting_.find(id);
-        if (found != waiting_.end()) found->second->cancel();
-    };
-}
-
-void request_flow::set_routes(std::shared_ptr<const route_table> routes) {
-    routes_ = std::move(routes);
-    overload_.set_enabled(has_priorities(routes_->configuration()));
-}
-
-void request_flow::begin_stop(const stop_schedule& schedule) {
-    stop_ = schedule;
-    for (const auto& [id, timer] : waiting_)
-        timer->cancel();
-}
+      limiter_(limiter), repeats_(repeats), moves_(moves), random_(seed) {}
 
 asio::awaitable<caller_answer> request_flow::handle(caller_request& request, answer_sink sink) {
     ++counters_.requests;
@@ -240,67 +189,6 @@
     return query;
 }
 
-// Registers a request with overload_control. Requests that may use different endpoints do not wait for each
-// other.
-void request_flow::contend(request_context& context, time_ms now, const version_choice& version) {
-    if (!overload_.enabled() || stop_) return;
-    auto& group = context.slot_group;
-    group = context.service_name;
-    if (!version.version.empty()) group += (version.avoid ? "!" : "=") + version.version;
-    const auto add_regions = [&group](const std::vector<region_name>& regions) {
-        for (const auto& region : regions)
-            group += "|" + region.value;
-    };
-    add_regions(context.route->homes);
-    if (context.account != nullptr) add_regions(context.account->homes);
-    overload_request request;
-    request.group = group;
-    if (context.account != nullptr) request.account = context.account->name.value;
-    request.route = context.route->name.value;
-    request.priority = context.priority;
-    const std::hash<std::string_view> hash;
-    request.repeat_key =
-        hash(request.account) ^ (hash(context.path) * 3) ^ (std::uint64_t{context.object_tag} << 20U);
-    request.elapsed = now - context.first_arrival;
-    request.goal_left = context.route->goal - request.elapsed;
-    request.left = context.deadline - now;
-    context.ticket = overload_.arrive(now, request);
-}
-
-// Whether the request may still be made to wait for a slot: it has been sent nowhere, and the VM goes on.
-bool request_flow::contends(const request_context& context) const {
-    return context.ticket && context.tried.empty() && !stop_;
-}
-
-// Waits until the request may have its turn, its time to wait is over or its caller has left.
-asio::awaitable<void> request_flow::wait_for_turn(request_context& context) {
-    const auto now = monotonic_now();
-    const auto at_most = std::max(time_ms{1}, context.ticket->latest_send - now);
-    const auto span = overload_.has_turn(*context.ticket) ? std::min(slot_poll_interval, at_most) : at_most;
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(span.count));
-    const timer_registration registration(waiting_, context.ticket->id, timer);
-    context.request->on_disconnect = [&timer] { timer.cancel(); };
-    boost::system::error_code woken;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
-    context.request->on_disconnect = nullptr;
-}
-
-// Has overload_control decide on what the selector has found.
-overload_control::verdict request_flow::judge_outlook(request_context& context, time_ms now,
-                                                      const endpoint_choice& choice) {
-    slot_outlook outlook;
-    outlook.found = choice.endpoint != nullptr;
-    outlook.scarce = choice.scarce;
-    outlook.may_wait =
-        !choice.no_usable_endpoint && choice.limited_endpoints == 0 && choice.paused_endpoints == 0;
-    outlook.service_time = choice.expected - choice.wait;
-    outlook.retry_after = choice.retry_after;
-    auto decision = overload_.on_outlook(now, *context.ticket, outlook);
-    // Pauses and limits of endpoints last as long as the endpoints have said.
-    if (!outlook.found && !outlook.may_wait) decision.retry_after = choice.retry_after;
-    return decision;
-}
-
 // Chooses an endpoint, sends the request and retries until there is an answer or no further attempt is
 // allowed.
 asio::awaitable<caller_answer> request_flow::forward(request_context& context, const answer_sink& sink) {
@@ -310,10 +198,8 @@
     const auto version = moves_.choose(monotonic_now(), context.service_name);
     std::optional<endpoint_result> last;
     int attempts_sent = 0;
-    contend(context, monotonic_now(), version);
     for (;;) {
         const auto now = monotonic_now();
-        if (context.ticket && (context.request->caller_left || stop_)) overload_.leave(now, *context.ticket);
         if (context.request->caller_left) {
             ++counters_.callers_left;
             record_result(context, 0, "caller_left", "before an endpoint was chosen");
@@ -321,33 +207,11 @@
             dropped.abort_connection = true;
             co_return dropped;
         }
-        if (contends(context)) {
-            const auto decision = overload_.before_choice(now, *context.ticket);
-            if (decision.what == overload_control::ruling::refuse)
-                co_return refuse(context, overload_refusal(decision));
-            if (decision.what == overload_control::ruling::wait) {
-                co_await wait_for_turn(context);
-                continue;
-            }
-        }
         const auto query = make_endpoint_request(context, now, regions, version);
         const auto choice = selector_.choose(now, query, context.service);
         context.expected_latency = choice.expected;
         const bool repeat = attempts_sent > 0;
         const bool in_time = may_finish(context, now);
-        if (contends(context)) {
-            const auto decision = judge_outlook(context, now, choice);
-            if (decision.what == overload_control::ruling::wait) {
-                co_await wait_for_turn(context);
-                continue;
-            }
-            if (decision.what == overload_control::ruling::refuse) {
-                auto cause = choice.endpoint != nullptr ? overload_refusal(decision)
-                                                        : capacity_refusal(choice, false, query.left);
-                cause.retry_after = decision.retry_after;
-                co_return refuse(context, cause);
-            }
-        }
         if (choice.endpoint == nullptr || !in_time || (repeat && !repeats_.take(now, context.service_name))) {
             if (last && last->answer && !last->answer->not_run && !last->answer->unproven_refusal()) {
                 record_result(context, last->answer->status, "endpoint_failed", last->reason);
@@ -447,12 +311,6 @@
     return {error_kind::no_capacity, detail, choice.retry_after};
 }
 
-// Refusal of a request that others go before.
-request_flow::refusal request_flow::overload_refusal(const overload_control::verdict& decision) {
-    return {error_kind::no_capacity,
-            fmt::format("slots are short: {}", overload_reason_name(decision.reason)), decision.retry_after};
-}
-
 // Records an endpoint's refusal. An error answer may pass on "not run" only if the endpoint has stated it.
 void request_flow::record_endpoint_refusal(const request_context& context, const endpoint_result& result) {
     const bool stated = result.answer->not_run;
@@ -528,8 +386,6 @@
         if (!result.streamed) learn_endpoint_word(context, *endpoint, *result.answer);
     }
     selector_.on_end(now, *endpoint, query, started, choice.warm, result.outcome, context.service);
-    overload_.wake_next(context.service_name);
-    if (context.slot_group != context.service_name) overload_.wake_next(context.slot_group);
     record_version_outcome(context, *endpoint, choice, result, now - started, overdue);
     if (result.outcome == attempt_end::answered) {
         answer_sizes_.on_answer(context.route->name.value,
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -4,7 +4,6 @@
 #include "coordination/answer_size_estimator.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_selector.h"
-#include "coordination/overload_control.h"
 #include "coordination/repeat_budget.h"
 #include "coordination/route_table.h"
 #include "coordination/send_ledger.h"
@@ -65,11 +64,11 @@
                  repeat_budget& repeats, version_mover& moves, std::uint64_t seed);
 
     /// @brief Puts a configuration into force; requests in progress keep the one they started with.
-    void set_routes(std::shared_ptr<const route_table> routes);
+    void set_routes(std::shared_ptr<const route_table> routes) { routes_ = std::move(routes); }
     [[nodiscard]] const std::shared_ptr<const route_table>& routes() const { return routes_; }
     /// @brief Begins a graceful stop: from now on, only requests that the schedule admits are sent to
     /// endpoints.
-    void begin_stop(const stop_schedule& schedule);
+    void begin_stop(const stop_schedule& schedule) { stop_ = schedule; }
     /// @brief Gives up the requests that are at endpoints. Their callers get an error answer that does not
     /// tell whether the request has run.
     void give_up_requests();
@@ -79,7 +78,6 @@
     boost::asio::awaitable<caller_answer> handle(caller_request& request, answer_sink sink);
 
     [[nodiscard]] const request_counters& counters() const { return counters_; }
-    [[nodiscard]] const overload_control& overload() const { return overload_; }
 
 private:
     /// State of one request while it is processed.
@@ -90,10 +88,6 @@
         const service_account* account = nullptr;
         const backend_service* service = nullptr;
         std::string service_name;
-        /// Requests with the same group compete for the same slots.
-        std::string slot_group;
-        /// State in overload_control; nothing while that is off.
-        std::optional<overload_control::ticket> ticket;
         std::string path;
         std::string host;
         std::string attempt_id;
@@ -125,12 +119,6 @@
     };
 
     void resolve_request(request_context& context);
-    void contend(request_context& context, time_ms now, const version_choice& version);
-    [[nodiscard]] bool contends(const request_context& context) const;
-    boost::asio::awaitable<void> wait_for_turn(request_context& context);
-    overload_control::verdict judge_outlook(request_context& context, time_ms now,
-                                            const endpoint_choice& choice);
-    static refusal overload_refusal(const overload_control::verdict& decision);
     refusal capacity_refusal(const endpoint_choice& choice, bool repeat, time_ms left);
     void learn_full_deadline(request_context& context, time_ms wait);
     std::optional<refusal> admit(request_context& context);
@@ -175,9 +163,6 @@
     std::optional<stop_schedule> stop_;
     // Attempts that wait for an answer.
     std::set<endpoint_attempt*> attempts_;
-    overload_control overload_;
-    // Timers of the requests that wait for a slot, by their ids in overload_control.
-    std::unordered_map<std::uint64_t, boost::asio::steady_timer*> waiting_;
 };
 
 } // namespace lacewing
