--- a/tests/endpoint_speed_test.cpp
+++ b/tests/endpoint_speed_test.cpp
@@ -323,13 +323,13 @@
         for (std::uint64_t seed = 1; seed <= 5; ++seed) {
             uneven_service service({.seed = seed, .stated = stated});
             make_noisy(service);
-            service.warm_up(150);
-            service.run(time_ms{20'000}, 150);
+            service.warm_up(200);
+            service.run(time_ms{20'000}, 200);
             least = std::min(least, service.in_goal_share());
             MESSAGE("stated " << stated << ", seed " << seed << ", in goal " << service.in_goal_share());
         }
-        // Nine of ten, less those 3 in 100 that are long anywhere.
-        if (stated) CHECK(least >= 0.87);
+        // 6 in 10 of the capacity are asked for, and 3 in 100 requests are late anywhere.
+        if (stated) CHECK(least >= 0.9);
     }
 }
 
