--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -15,12 +15,6 @@
     order_.pop_front();
 }
 
-std::optional<std::size_t> recent_objects::age(std::uint32_t object) const {
-    if (!objects_.contains(object)) return std::nullopt;
-    const auto found = std::find(order_.rbegin(), order_.rend(), object);
-    return static_cast<std::size_t>(found - order_.rbegin());
-}
-
 void recent_objects::clear() {
     order_.clear();
     objects_.clear();
@@ -148,10 +142,6 @@
             limit->endpoint = state->tag;
             report.limits.push_back(*limit);
         }
-        if (audience == report_audience::same_region) {
-            if (const auto percent = state->speed.unreported_percent())
-                report.speeds.emplace_back(state->tag, *percent);
-        }
         if (state->notice.reports_leaving(now, full)) report.leaving_endpoints.push_back(state->process);
     }
 }
@@ -160,7 +150,6 @@
     for (const auto& [id, state] : by_id_) {
         state->unreported_objects[static_cast<std::size_t>(audience)].clear();
         state->limit.clear_unreported(audience);
-        if (audience == report_audience::same_region) state->speed.clear_unreported();
     }
 }
 
@@ -189,10 +178,6 @@
         if (found->second->limit.on_report(now, limit) && on_limit_change)
             on_limit_change(now, *found->second, before, vm);
     }
-    for (const auto& [tag, percent] : report.speeds) {
-        const auto found = by_tag_.find(tag);
-        if (found != by_tag_.end()) found->second->speed.on_reported(now, percent / 100.0);
-    }
     for (const auto process : report.leaving_endpoints) {
         const auto found = by_process_.find(process);
         if (found != by_process_.end() && found->second->notice.on_reported_leaving() && on_reported_leaving)
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -2,7 +2,6 @@
 
 #include "coordination/endpoint_limit.h"
 #include "coordination/endpoint_notice.h"
-#include "coordination/endpoint_speed.h"
 #include "coordination/vm_report.h"
 #include "state/service_model.h"
 #include "state/time_ms.h"
@@ -34,8 +33,6 @@
     /// @brief Adds an object as the newest and drops the oldest beyond the capacity.
     void add(std::uint32_t object);
     [[nodiscard]] bool has(std::uint32_t object) const { return objects_.contains(object); }
-    /// @brief Number of objects that were added after this one; nothing for an object that is not remembered.
-    [[nodiscard]] std::optional<std::size_t> age(std::uint32_t object) const;
     void clear();
 
 private:
@@ -67,8 +64,6 @@
 
     /// Start times of the requests of this VM in flight.
     std::vector<time_ms> in_flight;
-    /// Age of the object of each of them when it was sent; see recent_objects::age().
-    std::vector<std::optional<std::uint8_t>> in_flight_object_ages;
     /// Requests of other VMs in flight, by their reports.
     int others_in_flight_by_vm_reports = 0;
     /// Requests of other VMs in flight, by the last load report of the endpoint itself.
@@ -93,7 +88,6 @@
     time_ms cold_tokens_updated{0};
     endpoint_limit limit;
     endpoint_notice notice;
-    endpoint_speed speed;
     recent_objects warm_objects;
 };
 
@@ -137,13 +131,13 @@
     [[nodiscard]] std::size_t limited_endpoint_count() const;
 
     /// @brief Adds the requests of this VM in flight, the objects that it has sent and what endpoints have
-    /// said to its report; the stated speeds only for the same region, because they are outdated elsewhere.
+    /// said to its report.
     /// @param full Include limits that have not changed lately, and all endpoints that leave.
     void fill(time_ms now, vm_report& report, report_audience audience, bool full) const;
-    /// @brief Clears the objects, uses of limits and stated speeds that have been reported to an audience.
+    /// @brief Clears the objects, and the uses of limits, that have been reported to an audience.
     void clear_unreported(report_audience audience);
     /// @brief Replaces the requests in flight that a VM reported before, adds the objects that it has sent,
-    /// and records what it knows of limits, of speeds and of endpoints that leave.
+    /// and records what it knows of limits and of endpoints that leave.
     void on_report(time_ms now, const std::string& vm, const vm_report& report);
     /// @brief Records the limit that an answer of an endpoint names, or that it names none.
     void on_limit(time_ms now, endpoint_state& endpoint, std::optional<double> per_s);
--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -28,8 +28,6 @@
 constexpr double sample_weight = 0.3;
 // Probability that an object is still warm at an endpoint to which it was sent.
 constexpr double warm_probability_after_send = 0.95;
-// Probability from which on a request counts as one for a warm object.
-constexpr double likely_warm = 0.5;
 // Largest cost by which the hash of the object decides between equal endpoints, so that VMs that do not know
 // of each other's requests yet choose the same one.
 constexpr double max_preference_ms = 4;
@@ -66,22 +64,6 @@
 // requests: weight of each result, and half-life of the estimate.
 constexpr double refusal_share_weight = 0.1;
 constexpr double refusal_share_half_life_ms = 3000;
-// Factors of endpoint_speed up to which a service time counts as one at the usual speed.
-constexpr double usual_speed_factor = 1.25;
-// Warm and cold service times can be told apart if they differ by this factor.
-constexpr double distinct_times_factor = 1.3;
-
-// How long work takes at an endpoint compared with the usual time: as it states, or as measured if it does
-// not.
-double time_factor(time_ms now, const endpoint_state& endpoint) {
-    if (endpoint.speed.stated()) return endpoint.speed.factor(now);
-    return std::max(1.0, endpoint.service_time_ratio);
-}
-
-// Work that an endpoint can do in the next seconds, relative to the usual.
-double lasting_capacity(time_ms now, const endpoint_state& endpoint) {
-    return endpoint.speed.stated() ? 1 / std::max(1.0, endpoint.speed.lasting_factor(now)) : 1;
-}
 
 std::string times_key(const endpoint_request& request) {
     return request.route->name.value + '/' + std::string(request.service);
@@ -113,7 +95,7 @@
 // used, and without these, fractions of the route's goal.
 endpoint_selector::service_times endpoint_selector::times_of(const endpoint_request& request) const {
     const auto goal = static_cast<double>(request.route->goal.count);
-    service_times known{goal * 1.3, goal * 0.5, goal * 0.7, 0, {}};
+    service_times known{goal * 1.3, goal * 0.5, goal * 0.7, 0};
     const auto use_measured = [&known](const service_times& measured) {
         if (measured.cold_ms > 0) known.cold_ms = measured.cold_ms;
         if (measured.warm_ms > 0) known.warm_ms = measured.warm_ms;
@@ -125,8 +107,6 @@
     const auto route = times_.find(times_key(request));
     if (route != times_.end()) use_measured(route->second);
     known.warm_ms = std::min(known.warm_ms, known.cold_ms);
-    const auto kept = kept_objects_.find(request.service);
-    if (kept != kept_objects_.end()) known.kept = kept->second;
     return known;
 }
 
@@ -171,14 +151,10 @@
                                                    const endpoint_request& request,
                                                    const service_times& times) const {
     const auto slots = static_cast<double>(endpoint->registration.slots);
-    const double service_time_ratio = time_factor(now, *endpoint);
+    const double service_time_ratio = std::max(1.0, endpoint->service_time_ratio);
     const double load = current_load(now, *endpoint);
-    double warm_probability = 0;
-    if (request.object != 0 && endpoint->warm_objects.has(request.object)) {
-        warm_probability = warm_probability_after_send;
-        if (endpoint->speed.stated())
-            warm_probability *= times.kept.warm_probability(*endpoint->warm_objects.age(request.object));
-    }
+    const double warm_probability =
+        request.object != 0 && endpoint->warm_objects.has(request.object) ? warm_probability_after_send : 0;
     const double work =
         (times.cold_ms + warm_probability * (times.warm_ms - times.cold_ms)) * service_time_ratio;
     scored scored_endpoint{endpoint, 0, 0, 0, warm_probability, false};
@@ -299,11 +275,10 @@
             if (failed) candidates.capacity.failed_slots += slots;
             continue;
         }
-        const double capacity = lasting_capacity(now, *endpoint);
-        candidates.own_in_flight += static_cast<double>(endpoint->in_flight.size()) * capacity;
-        candidates.load += current_load(now, *endpoint) * capacity;
+        candidates.own_in_flight += static_cast<double>(endpoint->in_flight.size());
+        candidates.load += current_load(now, *endpoint);
         candidates.capacity.usable_slots += slots;
-        candidates.slots_within_limits += slots_within_limit(*endpoint, times) * capacity;
+        candidates.slots_within_limits += slots_within_limit(*endpoint, times);
         auto scored_endpoint = score(now, endpoint, request, times);
         scored_endpoint.full = current_load(now, *endpoint) >= slots * (1 + max_waiting_per_slot);
         scored_endpoint.cost += preference_cost_ms(*endpoint, hash_input);
@@ -371,7 +346,7 @@
     const auto left_ms = static_cast<double>(request.left.count);
     choice.expected = time_ms{static_cast<std::int64_t>(best->expected_ms)};
     choice.wait = time_ms{static_cast<std::int64_t>(best->wait_ms)};
-    choice.warm = best->warm_probability >= likely_warm;
+    choice.warm = best->warm_probability >= warm_probability_after_send;
     choice.round_trip = time_ms{static_cast<std::int64_t>(round_trip_ms(*best->endpoint))};
     if (times.samples >= min_samples) choice.cold_ms = times.cold_ms;
     // Only measured service times justify a refusal. With a wrong initial guess, all requests would be
@@ -414,8 +389,6 @@
 void endpoint_selector::on_send(time_ms now, endpoint_state& endpoint, const endpoint_request& request,
                                 const backend_service* service) {
     endpoint.in_flight.push_back(now);
-    endpoint.in_flight_object_ages.emplace_back(
-        request.object != 0 ? endpoint.warm_objects.age(request.object) : std::nullopt);
     ++endpoint.sent_count;
     endpoint.limit.on_send();
     if (request.object != 0) {
@@ -437,13 +410,7 @@
                                time_ms started, bool warm, attempt_end outcome,
                                const backend_service* service) {
     const auto found = std::find(endpoint.in_flight.begin(), endpoint.in_flight.end(), started);
-    std::optional<std::uint8_t> object_age;
-    if (found != endpoint.in_flight.end()) {
-        const auto age = endpoint.in_flight_object_ages.begin() + (found - endpoint.in_flight.begin());
-        object_age = *age;
-        endpoint.in_flight_object_ages.erase(age);
-        endpoint.in_flight.erase(found);
-    }
+    if (found != endpoint.in_flight.end()) endpoint.in_flight.erase(found);
     decay(now, endpoint);
     if (outcome == attempt_end::unreachable) endpoint.limit.on_unsent();
     const bool not_run = outcome == attempt_end::unreachable || outcome == attempt_end::not_run;
@@ -474,10 +441,6 @@
     const double expected = std::max(1.0, warm ? times.warm_ms : times.cold_ms);
     const bool queued = current_load(now, endpoint) + 1 > endpoint.registration.slots;
     if (queued) return;
-    if (endpoint.speed.stated()) {
-        learn_from_stated_speed(now, endpoint, request, object_age, warm, taken_ms);
-        return;
-    }
     if (warm || taken_ms > expected) {
         const double ratio = std::clamp(taken_ms / expected, 0.5, 20.0);
         endpoint.service_time_ratio += sample_weight * (ratio - endpoint.service_time_ratio);
@@ -489,29 +452,6 @@
     if (request.object != 0) update_service_times(times_[std::string(request.service)], taken_ms, warm);
 }
 
-// Learns from an unqueued answer of an endpoint that states its speed. The statement allows to tell a cold
-// object from a slow machine, so whether the object was warm is taken from the time and not from the
-// forecast.
-void endpoint_selector::learn_from_stated_speed(time_ms now, endpoint_state& endpoint,
-                                                const endpoint_request& request,
-                                                std::optional<std::uint8_t> object_age, bool warm,
-                                                double taken_ms) {
-    const auto times = times_of(request);
-    const double factor = endpoint.speed.factor(now);
-    const bool distinct =
-        times.samples >= min_samples && times.cold_ms > times.warm_ms * distinct_times_factor;
-    if (distinct) {
-        const double usual_ms = std::max(1.0, taken_ms) / factor;
-        warm = request.object != 0 && usual_ms * usual_ms < times.cold_ms * times.warm_ms;
-    }
-    const double expected_ms = std::max(1.0, warm ? times.warm_ms : times.cold_ms);
-    endpoint.speed.on_answer(now, taken_ms / expected_ms);
-    if (factor > usual_speed_factor || factor < 1 / usual_speed_factor) return;
-    if (distinct && object_age) kept_objects_[std::string(request.service)].on_run(*object_age, warm);
-    update_service_times(times_[times_key(request)], taken_ms, warm);
-    if (request.object != 0) update_service_times(times_[std::string(request.service)], taken_ms, warm);
-}
-
 void endpoint_selector::update_service_times(service_times& times, double taken_ms, bool warm) {
     // Measured times include waits that this VM cannot see, so the estimate follows a low quantile instead of
     // the mean: it moves faster towards a shorter time than towards a longer one.
@@ -537,11 +477,6 @@
     const int own = std::max(0, static_cast<int>(endpoint.in_flight.size()) - 1);
     endpoint.others_in_flight_by_load_report = std::max(0, running + waiting - own);
     endpoint.load_reported_at = now;
-    const auto slots = std::string_view(second.ptr, static_cast<std::size_t>(end - second.ptr));
-    const auto factor_comma = slots.find(',', 1);
-    if (slots.empty() || factor_comma == std::string_view::npos) return;
-    if (const auto factor = parse_stated_factor(slots.substr(factor_comma + 1)))
-        endpoint.speed.on_stated(now, *factor);
 }
 
 } // namespace lacewing
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/endpoint_registry.h"
-#include "coordination/kept_objects.h"
 #include "coordination/region_shift_limiter.h"
 #include "coordination/route_table.h"
 #include "state/time_ms.h"
@@ -123,8 +122,8 @@
     /// @param warm Whether the object was expected to be warm.
     void on_end(time_ms now, endpoint_state& endpoint, const endpoint_request& request, time_ms started,
                 bool warm, attempt_end outcome, const backend_service* service);
-    /// @brief Records the load report "running,waiting,slots" or "running,waiting,slots,factor" of an answer,
-    /// with the factor of endpoint_speed in percent. The slots are not used; malformed text is ignored.
+    /// @brief Records the load report "running,waiting,slots" of an answer. The slots are not used; malformed
+    /// text is ignored.
     static void on_load_report(time_ms now, endpoint_state& endpoint, std::string_view text);
     /// @brief Records the duration of a connect, which is one network round trip.
     void on_connect(const endpoint_state& endpoint, time_ms duration);
@@ -136,8 +135,6 @@
         double warm_ms = 0;
         double mean_ms = 0;
         std::uint64_t samples = 0;
-        /// How long objects stay warm at the service's endpoints.
-        kept_objects kept;
     };
     /// An endpoint with its expected times and its cost; the endpoint of the lowest cost is chosen.
     struct scored {
@@ -198,8 +195,6 @@
     static double slots_within_limit(const endpoint_state& endpoint, const service_times& times);
     static double preference_cost_ms(const endpoint_state& endpoint, std::uint64_t hash_input);
     time_ms retry_after(double max_wait_ms, double left_ms);
-    void learn_from_stated_speed(time_ms now, endpoint_state& endpoint, const endpoint_request& request,
-                                 std::optional<std::uint8_t> object_age, bool warm, double taken_ms);
     static void update_service_times(service_times& times, double taken_ms, bool warm);
     static void decay(time_ms now, endpoint_state& endpoint);
 
@@ -208,8 +203,6 @@
     std::string region_;
     std::mt19937_64 random_;
     std::map<std::string, service_times, std::less<>> times_;
-    // By service.
-    std::map<std::string, kept_objects, std::less<>> kept_objects_;
     /// Smoothed share of the region-restricted requests that were refused in a region for lack of capacity.
     struct refusal_estimate {
         double share = 0;
--- a/src/coordination/vm_report.h
+++ b/src/coordination/vm_report.h
@@ -129,9 +129,6 @@
     /// Objects whose requests were sent to endpoints since the last report, by endpoint tag. Not a total:
     /// after a lost report, other VMs only underestimate which objects are warm at an endpoint.
     std::vector<std::pair<std::uint32_t, std::vector<std::uint32_t>>> objects;
-    /// Factors in percent that endpoints have stated since the last report, by endpoint tag; only in reports
-    /// to the same region. See endpoint_speed.
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> speeds;
     /// Totals of requests by region; only in reports to the same region.
     std::vector<region_send_total> region_sends;
     /// Totals of requests by account.
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -243,7 +243,6 @@
     if (!is_socket_address(report.peer_address)) reject("a peer message has an invalid address");
 }
 
-constexpr std::uint64_t max_speed_percent = 100'000;
 constexpr std::uint64_t ready_bit = 1;
 constexpr std::uint64_t leaving_bit = 2;
 constexpr std::uint64_t store_reached_bit = 4;
@@ -286,15 +285,6 @@
     }
 }
 
-// Stated factors by endpoint tag: "tag percent tag percent".
-void decode_speeds(std::string_view value, vm_report& report) {
-    for (item_reader in(value); !in.empty();) {
-        const auto tag = in.tag();
-        report.speeds.emplace_back(
-            tag, static_cast<std::uint32_t>(std::min<std::uint64_t>(in.number(), max_speed_percent)));
-    }
-}
-
 // Objects by endpoint tag: "tag object object,tag object,".
 void decode_objects(std::string_view value, vm_report& report) {
     for_each_group(value, [&](item_reader in) {
@@ -433,7 +423,7 @@
     field_decoder{"sent", decode_region_sends}, field_decoder{"use", decode_usage},
     field_decoder{"lim", decode_limits},        field_decoder{"bye", decode_leaving_endpoints},
     field_decoder{"out", decode_outcomes},      field_decoder{"share", decode_move_shares},
-    field_decoder{"mov", decode_moves},         field_decoder{"spd", decode_speeds},
+    field_decoder{"mov", decode_moves},
 };
 
 struct report_field {
@@ -474,11 +464,6 @@
         for (const auto& [tag, count] : report.in_flight)
             items.number(tag).number(not_negative(count));
     }
-    if (!report.speeds.empty()) {
-        auto items = out.field("spd");
-        for (const auto& [tag, percent] : report.speeds)
-            items.number(tag).number(percent);
-    }
     if (!report.objects.empty()) {
         auto items = out.field("obj");
         for (const auto& [tag, objects] : report.objects) {
--- a/tests/report_codec_test.cpp
+++ b/tests/report_codec_test.cpp
@@ -29,7 +29,6 @@
     report.configuration_version = 7;
     report.revisions = {{"config", 5}, {"servers", 1'000'000'000'000}};
     report.in_flight = {{1, 2}, {0xffffffff, 4}};
-    report.speeds = {{1, 250}, {0xffffffff, 100}};
     report.objects = {{1, {5, 0xffffffff}}, {2, {7}}, {3, {}}};
     report.region_sends = {{0xffffffff, 1'000'000'000'000, 5}, {8, 1, 0}};
     report.usage = {{"ward", {10, -2}}};
@@ -60,7 +59,6 @@
     CHECK(decoded.pass_on);
     CHECK(decoded.revisions == report.revisions);
     CHECK(decoded.in_flight == report.in_flight);
-    CHECK(decoded.speeds == report.speeds);
     CHECK(decoded.objects == report.objects);
     CHECK(decoded.region_sends == report.region_sends);
     CHECK(decoded.usage.at(0).first == "ward");
