--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -31,6 +31,11 @@
 /// @return Always 0.
 int run_routing(std::uint64_t seed);
 
+/// @brief Compares rules that place objects at endpoints: moves when the endpoints change, evenness, and the
+/// cost of a choice.
+/// @return Always 0.
+int run_placement(std::uint64_t seed);
+
 /// @brief Compares evaluation and pacing rules for version moves.
 /// @return 0 when the first combination of rules meets the targets in every scenario.
 int run_moves(std::uint64_t seed);
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -14,6 +14,7 @@
         command{"spread", "cost and speed of membership and configuration propagation", run_spread},
         command{"lookup", "measure the client block table", run_lookup},
         command{"moves", "compare judging and pacing rules for version moves", run_moves},
+        command{"placement", "compare rules that place objects at endpoints", run_placement},
         command{"routing", "measure the router and compare selection rules", run_routing},
     };
     CLI::App app{"lacewingplank experiments"};
