Count why objects change their endpoint

Operators cannot see how many callers lose a warm endpoint when endpoints come, go, fill up or are resized.

--- a/src/coordination/endpoint_selector.cpp
+++ b/src/coordination/endpoint_selector.cpp
@@ -33,6 +33,8 @@
 constexpr double max_preference_ms = 4;
 // Multiplies the cost of an endpoint that has never got a request, so that it is tried.
 constexpr double never_used_cost_factor = 0.8;
+// From this ratio of measured to expected service time on, an endpoint is slow.
+constexpr double slow_service_time_ratio = 2;
 constexpr time_ms no_usable_endpoint_retry_after{250};
 // Broken connections in a row that suspend an endpoint; a failed connect suspends it at once. The suspension
 // doubles with each further failure.
@@ -73,8 +75,8 @@
 
 endpoint_selector::endpoint_selector(endpoint_registry& registry, std::string zone, std::string region,
                                      std::uint64_t seed, double max_region_shift)
-    : registry_(registry), zone_(std::move(zone)), region_(std::move(region)), random_(seed),
-      shift_limiter_(max_region_shift, seed) {}
+    : registry_(registry), zone_(std::move(zone)), region_(std::move(region)), region_tag_(hash_tag(region_)),
+      random_(seed), shift_limiter_(max_region_shift, seed) {}
 
 double endpoint_selector::round_trip_ms(const endpoint_state& endpoint) const {
     const auto& zone = endpoint.registration.zone.value;
@@ -219,6 +221,19 @@
     return max_preference_ms * static_cast<double>(weight >> 11U) * 0x1.0p-53;
 }
 
+// What the placement of objects has to know of an endpoint.
+object_placement::view_function endpoint_selector::placement_view(time_ms now) const {
+    return [this, now](const endpoint_state& endpoint) -> object_placement::endpoint_view {
+        const bool responds =
+            now >= endpoint.suspended_until && endpoint.consecutive_failures < failures_to_suspend &&
+            endpoint.service_time_ratio < slow_service_time_ratio && now >= endpoint.cold_until;
+        const bool listed =
+            !endpoint.registration.draining && !endpoint.replaced && !registry_.drained(endpoint);
+        return {responds && listed && endpoint.notice.takes_requests(now),
+                current_load(now, endpoint) < static_cast<double>(endpoint.registration.slots)};
+    };
+}
+
 endpoint_selector::region_candidates& endpoint_selector::candidates_of(std::uint32_t region) {
     const auto found = std::find_if(candidates_.begin(), candidates_.end(),
                                     [region](const auto& item) { return item.region == region; });
@@ -253,6 +268,16 @@
     ++paused_.count;
 }
 
+// Determines the own endpoints of the object of a request.
+void endpoint_selector::place_object(time_ms now, const endpoint_request& request,
+                                     const backend_service* service,
+                                     std::span<const std::shared_ptr<endpoint_state>> endpoints) {
+    const auto warmup = service == nullptr ? time_ms{0} : service->warmup;
+    placement_.prepare(
+        now, request.service, request.object, endpoints, warmup,
+        [this](const auto& endpoint) { return registry_.drained(endpoint); }, placement_view(now));
+}
+
 // Finds the best usable endpoint of each region.
 void endpoint_selector::collect_candidates(time_ms now, const endpoint_request& request,
                                            const backend_service* service, const service_times& times) {
@@ -260,7 +285,9 @@
     held_back_ = {};
     paused_ = {};
     const std::uint64_t hash_input = request.object != 0 ? request.object : random_();
-    for (const auto& endpoint : registry_.endpoints_of_service(std::string(request.service))) {
+    const auto endpoints = registry_.endpoints_of_service(std::string(request.service));
+    place_object(now, request, service, endpoints);
+    for (const auto& endpoint : endpoints) {
         decay(now, *endpoint);
         const auto slots = static_cast<double>(endpoint->registration.slots);
         auto& candidates = candidates_of(endpoint->region_tag);
@@ -392,6 +419,7 @@
     ++endpoint.sent_count;
     endpoint.limit.on_send();
     if (request.object != 0) {
+        placement_.on_send(request.service, endpoint, request.object, placement_view(now));
         endpoint.warm_objects.add(request.object);
         for (auto& list : endpoint.unreported_objects)
             list.push_back(request.object);
--- a/src/coordination/endpoint_selector.h
+++ b/src/coordination/endpoint_selector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/endpoint_registry.h"
+#include "coordination/object_placement.h"
 #include "coordination/region_shift_limiter.h"
 #include "coordination/route_table.h"
 #include "state/time_ms.h"
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -92,7 +94,8 @@
 ///
 /// The expected time is the sum of the network round trip, the wait for a slot behind the requests of all
 /// VMs, and the service time, which is shorter where the object is warm. Rendezvous hashing assigns each
-/// object a preferred endpoint, so that all VMs of a region agree on it without communication.
+/// object its own endpoints (see object_placement), so that all VMs of a region agree on them without
+/// communication.
 class endpoint_selector {
 public:
     /// @param max_region_shift Limit of region_shift_limiter for requests that may go to any region.
@@ -114,6 +117,10 @@
     [[nodiscard]] region_shift_limiter& shift_limiter() { return shift_limiter_; }
     [[nodiscard]] const region_shift_limiter& shift_limiter() const { return shift_limiter_; }
 
+    /// @brief Where objects are kept, for metrics and logs.
+    [[nodiscard]] object_placement& placement() { return placement_; }
+    [[nodiscard]] const object_placement& placement() const { return placement_; }
+
     /// @brief Records the start of an attempt.
     void on_send(time_ms now, endpoint_state& endpoint, const endpoint_request& request,
                  const backend_service* service);
@@ -194,6 +201,9 @@
     void note_pause(time_ms now, const endpoint_state& endpoint);
     static double slots_within_limit(const endpoint_state& endpoint, const service_times& times);
     static double preference_cost_ms(const endpoint_state& endpoint, std::uint64_t hash_input);
+    [[nodiscard]] object_placement::view_function placement_view(time_ms now) const;
+    void place_object(time_ms now, const endpoint_request& request, const backend_service* service,
+                      std::span<const std::shared_ptr<endpoint_state>> endpoints);
     time_ms retry_after(double max_wait_ms, double left_ms);
     static void update_service_times(service_times& times, double taken_ms, bool warm);
     static void decay(time_ms now, endpoint_state& endpoint);
@@ -201,6 +211,7 @@
     endpoint_registry& registry_;
     std::string zone_;
     std::string region_;
+    std::uint32_t region_tag_ = 0;
     std::mt19937_64 random_;
     std::map<std::string, service_times, std::less<>> times_;
     /// Smoothed share of the region-restricted requests that were refused in a region for lack of capacity.
@@ -211,6 +222,7 @@
     // Refusals by service and region.
     std::map<std::string, std::map<std::string, refusal_estimate>, std::less<>> region_refusals_;
     region_shift_limiter shift_limiter_;
+    object_placement placement_;
     // Candidates of the request that is being placed, by region; kept between calls to avoid allocation.
     std::vector<region_candidates> candidates_;
     held_back_endpoints held_back_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "gateway/placement_log.h"
 #include "platform/dialect.h"
 #include "platform/object_codec.h"
 #include "protocol/caller_http.h"
@@ -516,6 +517,7 @@
         }
         if (flow_.routes() == nullptr) continue;
         log_shifts(now);
+        log_placement(now, selector_.placement());
         std::vector<std::string> services;
         for (const auto& [name, service] : flow_.routes()->configuration().services)
             services.push_back(name);
@@ -685,6 +687,7 @@
     add("lacewing_shift_decisions_refused_total", shifts.refused);
     add("lacewing_shift_decisions_with_failed_slots_total", shifts.with_failed_slots);
     add("lacewing_region_report_age_ms", selector_.shift_limiter().report_age_ms());
+    out += placement_metrics(selector_.placement().changes());
     add("lacewing_endpoints", registry_.size());
     add("lacewing_vms_alive", fleet_.alive_vm_count(monotonic_now()));
     add("lacewing_caller_connections", callers_.connections());
