--- a/tests/object_placement_test.cpp
+++ b/tests/object_placement_test.cpp
@@ -97,10 +97,11 @@
         double least_elsewhere = 1000;
         for (const auto& endpoint : region.endpoints) {
             const double cost = region.placed.cost_ms(*endpoint, 0, false, 100);
-            if (endpoint->region_tag == 0)
+            if (endpoint->region_tag == 0) {
                 largest_at_home = std::max(largest_at_home, cost);
-            else
+            } else {
                 least_elsewhere = std::min(least_elsewhere, cost);
+            }
         }
         // No more than what decides between equal endpoints.
         CHECK(least_elsewhere >= largest_at_home - 4);
