--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -712,9 +712,10 @@
     add("lacewing_caller_memory_bytes", memory.held());
     add("lacewing_caller_memory_budget_bytes", memory.budget());
     for (const auto cause : {memory_cause::unfinished_request, memory_cause::unread_answer,
-                             memory_cause::budget_used_up, memory_cause::no_connection_left})
+                             memory_cause::budget_used_up, memory_cause::no_connection_left}) {
         add(fmt::format("lacewing_callers_shed_total{{cause=\"{}\"}}", to_string(cause)),
             memory.count(cause));
+    }
     add("lacewing_caller_connections_closed_for_others_total", callers_.evicted_connections());
     if (flow_.routes() != nullptr)
         add("lacewing_configuration_version", flow_.routes()->configuration().version);
--- a/tests/system/hostile_crowd.cpp
+++ b/tests/system/hostile_crowd.cpp
@@ -31,7 +31,7 @@
     peer.sin_port = htons(parsed.port());
     peer.sin_addr.s_addr = htonl(parsed.address().to_v4().to_uint());
     // The connection is established while the first bytes wait.
-    ::connect(made, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer));
+    static_cast<void>(::connect(made, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer)));
     return made;
 }
 
