Hold slow bodies to a rate only while memory is short

Cause: a body that grew by less than 64 bytes in 10 s was abandoned in calm as well, which a slow caller inside the limits of the configuration could meet. Change: while callers hold less than half of their memory, one byte in 10 s suffices, as before the account of memory.

--- a/src/coordination/caller_memory.h
+++ b/src/coordination/caller_memory.h
@@ -66,6 +66,8 @@
     static constexpr double reserved_share = 0.25;
     /// Part of a bound down to which connections are closed, so that not every further byte closes one.
     static constexpr double shed_target = 0.9;
+    /// Part of a bound from which on the account counts as short.
+    static constexpr double short_share = 0.5;
 
     /// @brief What one connection holds; registered for its lifetime.
     class holding {
@@ -115,6 +117,9 @@
         return worst_stalled(now, min_stall) != nullptr;
     }
 
+    /// @brief Whether callers hold so much that bodies which hardly grow are not waited for.
+    [[nodiscard]] bool is_short() const { return !within(short_share); }
+
     [[nodiscard]] std::size_t budget() const { return budget_; }
     [[nodiscard]] std::size_t held() const { return held_; }
     [[nodiscard]] std::uint64_t count(memory_cause cause) const {
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -32,7 +32,8 @@
 constexpr time_ms idle_timeout_margin{1000};
 // Time without a new byte of a request body after which the request is abandoned.
 constexpr time_ms body_stall_timeout{10'000};
-// A body is also abandoned when it grows by less than this within that time. Far below what any link carries.
+// While callers hold much memory, a body is also abandoned when it grows by less than this within that time.
+// Far below what any link carries.
 constexpr std::size_t min_body_progress_bytes = 64;
 // Added to the time that a caller waits, because its clock starts earlier and bytes are on their way.
 constexpr time_ms body_time_margin{1'000};
@@ -103,6 +104,10 @@
     }
     /// @brief Records memory of an answer that waits for the caller, beside what hold() has recorded.
     bool hold_answer(std::size_t answer_bytes) { return hold_with(answer_bytes, memory_use::unread_answer); }
+    /// @brief Bytes by which a body must grow within body_stall_timeout.
+    [[nodiscard]] std::size_t min_body_progress() const {
+        return memory_->is_short() ? min_body_progress_bytes : 1;
+    }
     /// @brief Whether the account has closed the connection.
     [[nodiscard]] bool given_up() const { return holding_.closed(); }
 
@@ -464,7 +469,7 @@
         }
         if (parser.is_done() || body.size() >= max_buffered_body_bytes) co_return read_result::complete;
         bool held = conn->hold(body.capacity(), memory_use::unfinished_request);
-        if (body.size() >= progress_from + min_body_progress_bytes) {
+        if (body.size() >= progress_from + conn->min_body_progress()) {
             progress_from = body.size();
             stalls_at = monotonic_now() + body_stall_timeout;
         }
--- a/tests/caller_memory_test.cpp
+++ b/tests/caller_memory_test.cpp
@@ -139,6 +139,17 @@
 }
 
 // Guards against an account that drifts from what the connections hold.
+TEST_CASE(
+    "caller memory: slow bodies are held to a rate while there is room, or to none when there is little") {
+    caller_memory account(1'000'000);
+    caller_memory::holding half(account, [] {});
+    CHECK_FALSE(account.is_short());
+    REQUIRE(half.set(300'000, memory_use::unfinished_request, time_ms{1}));
+    CHECK_FALSE(account.is_short());
+    REQUIRE(half.set(600'000, memory_use::unfinished_request, time_ms{2}));
+    CHECK(account.is_short());
+}
+
 TEST_CASE("caller memory: the account loses or invents bytes over many random changes") {
     std::mt19937_64 random(46);
     fixture f;
