Keep refused requests and slow endpoints out of the account of callers' memory

Cause (review by another developer than the author, by reading): a refused large request stayed booked, so small requests were refused and finished answers reset until its connection ended; a long upload counted as unfinished while its endpoint was slow, a request without a body on the own interface counted so while it ran; a growing body doubled its memory. Change: a refusal leaves the account as it was, small connections need room in the whole budget only, finished answers are delivered, a request is unfinished only while its caller is waited for, and bodies grow by what is asked for.

--- a/src/coordination/caller_memory.cpp
+++ b/src/coordination/caller_memory.cpp
@@ -45,17 +45,20 @@
     // A closed connection counts as freed; it frees its memory as soon as its coroutine runs.
     if (closed_) return false;
     account_.add(bytes_, bytes);
-    const bool grew = bytes > bytes_;
+    const auto before = bytes_;
     last_progress_ = now;
     bytes_ = bytes;
     use_ = use;
-    if (!grew || account_.within(1)) return true;
+    if (bytes <= before || account_.has_room(bytes)) return true;
     account_.make_room(memory_use::unfinished_request, memory_cause::unfinished_request, now, this);
     account_.make_room(memory_use::unread_answer, memory_cause::unread_answer, now, this);
     if (closed_) return false;
-    if (account_.within(1)) return true;
+    if (account_.has_room(bytes)) return true;
     memory_shedding refused{memory_cause::budget_used_up, 1, bytes_, {}, account_.held_, account_.budget_};
     account_.record(refused);
+    // What is refused is not kept, so it must not count against others.
+    account_.add(bytes, before);
+    bytes_ = before;
     return false;
 }
 
@@ -75,6 +78,12 @@
 }
 
 // Whether a share of the budget, and of the part of it that large requests may use, suffices.
+// Whether a connection may hold that many bytes, which are recorded already. A small one does not depend on
+// the part of the budget that large requests share.
+bool caller_memory::has_room(std::size_t bytes) const {
+    return bytes <= small_bytes ? held_ <= budget_ : within(1);
+}
+
 bool caller_memory::within(double share) const {
     return held_ <= share_of(budget_, share) &&
            held_large_ <= share_of(budget_, share * (1 - reserved_share));
--- a/src/coordination/caller_memory.h
+++ b/src/coordination/caller_memory.h
@@ -131,6 +131,7 @@
 
 private:
     void add(std::size_t before, std::size_t after);
+    [[nodiscard]] bool has_room(std::size_t bytes) const;
     [[nodiscard]] bool within(double share) const;
     void make_room(memory_use use, memory_cause cause, time_ms now, holding* asking);
     void close(holding& victim, memory_shedding& shedding, time_ms now, const holding* asking);
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -200,7 +200,8 @@
 
 // Records the memory of an answer that waits for the caller.
 void caller_session::hold_answer(std::size_t bytes) {
-    if (hold(bytes, memory_use::unread_answer)) return;
+    // The bytes are in memory already, so only a closed connection is given up.
+    if (hold(bytes, memory_use::unread_answer) || !holding_.closed()) return;
     reset();
     throw boost::system::system_error(asio::error::connection_reset);
 }
@@ -362,7 +363,10 @@
 // Receives the whole body, or its first chunk, before an endpoint is chosen, so that a slow caller does not
 // occupy a slot meanwhile.
 asio::awaitable<void> caller_session::receive_first_chunk(exchange& current) {
-    if (current.parser.is_done()) co_return;
+    if (current.parser.is_done()) {
+        hold(0, memory_use::in_service);
+        co_return;
+    }
     if (beast::iequals(current.parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> proceed{http::status::continue_, 11};
         co_await http::async_write(stream_, proceed, asio::use_awaitable);
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -357,10 +357,12 @@
     while (!parser.is_done() && parser.get().body().empty()) {
         if (reading->closed || parse_buffered(parser, conn->buffer()).failure) co_return std::nullopt;
         if (parser.is_done() || !parser.get().body().empty()) break;
-        if (!co_await conn->read(monotonic_now() + body_stall_timeout)) co_return std::nullopt;
+        // Only here the caller is waited for; a slow endpoint is not its fault.
         if (!conn->hold(reading->buffered_bytes, memory_use::unfinished_request)) co_return std::nullopt;
+        if (!co_await conn->read(monotonic_now() + body_stall_timeout)) co_return std::nullopt;
+        if (conn->given_up()) co_return std::nullopt;
     }
-    if (parser.is_done()) conn->hold(reading->buffered_bytes, memory_use::in_service);
+    conn->hold(reading->buffered_bytes, memory_use::in_service);
     std::string piece = std::move(parser.get().body());
     parser.get().body() = {};
     co_return piece;
@@ -418,6 +420,7 @@
                                                                      time_ms until) {
     auto& parser = reading->parser;
     auto parsed = parse_buffered(parser, conn->buffer());
+    if (!parsed.failure && !parser.is_header_done()) conn->hold(0, memory_use::unfinished_request);
     // g++ 12 evaluates a co_await on the right of && in a loop condition even when the left is false.
     while (!parsed.failure && !parser.is_header_done()) {
         const bool more = co_await conn->read(until);
@@ -479,7 +482,7 @@
             if (held && !more) co_return read_result::caller_left;
         }
         if (held) continue;
-        parser.get().body() = {};
+        parser.get().body() = std::string();
         reading->refusal = memory_refusal();
         co_return read_result::refused;
     }
@@ -525,7 +528,7 @@
         co_return co_await conn.write(format_head(head, length, framing.chunked, framing.close), {});
     };
     sink.write = [&conn, &framing](std::string_view piece) -> asio::awaitable<bool> {
-        if (!conn.hold_answer(piece.size())) co_return false;
+        if (!conn.hold_answer(piece.size()) && conn.given_up()) co_return false;
         if (!framing.chunked) {
             co_return co_await conn.write({}, piece);
         }
@@ -547,8 +550,9 @@
     const auto length =
         without_body ? std::optional<std::uint64_t>() : std::optional<std::uint64_t>(answer.body.size());
     if (head_only) answer.body.clear();
-    if (!conn.hold_answer(answer.body.size())) {
-        // Promises nothing, because the request may have run.
+    // The answer is in memory already, so refusing it would free nothing; only a closed connection is reset.
+    // It promises nothing, because the request may have run.
+    if (!conn.hold_answer(answer.body.size()) && conn.given_up()) {
         conn.reset();
         co_return false;
     }
@@ -572,9 +576,8 @@
     }
     if (read == read_result::complete) {
         reading->buffered_bytes = parser.get().body().capacity();
-        const auto use = parser.is_done() ? memory_use::in_service : memory_use::unfinished_request;
-        if (!conn->hold(reading->buffered_bytes, use)) {
-            parser.get().body() = {};
+        if (!conn->hold(reading->buffered_bytes, memory_use::in_service)) {
+            parser.get().body() = std::string();
             reading->refusal = memory_refusal();
             read = read_result::refused;
         }
--- a/src/protocol/growing_body.h
+++ b/src/protocol/growing_body.h
@@ -35,7 +35,11 @@
             const auto count = boost::beast::buffer_bytes(buffers);
             const auto needed = body_.size() + count;
             if (needed > body_.capacity()) {
-                body_.reserve(std::max(needed, body_.size() + std::min(body_.size(), max_growth_bytes)));
+                // reserve() may double the capacity, so the bytes move to a string of the wanted capacity.
+                std::string larger;
+                larger.reserve(std::max(needed, body_.size() + std::min(body_.size(), max_growth_bytes)));
+                larger.append(body_);
+                body_.swap(larger);
             }
             for (const auto buffer : boost::beast::buffers_range_ref(buffers))
                 body_.append(static_cast<const char*>(buffer.data()), buffer.size());
--- a/tests/caller_memory_test.cpp
+++ b/tests/caller_memory_test.cpp
@@ -105,6 +105,21 @@
     CHECK(f.closed.empty());
 }
 
+// A refused request keeps its connection for a while.
+TEST_CASE("caller memory: a large request that was refused counts against small ones while its connection is "
+          "open") {
+    fixture f;
+    while (f.set(f.add(), 120 * kb, memory_use::in_service))
+        REQUIRE(f.holdings.size() < 100);
+    CHECK(f.holdings.back()->bytes() == 0);
+    for (int i = 0; i < 10; ++i) {
+        const auto one = f.add();
+        CHECK(f.set(one, 4 * kb, memory_use::unfinished_request));
+        CHECK(f.set(one, 8 * kb, memory_use::unread_answer));
+    }
+    CHECK(f.closed.empty());
+}
+
 TEST_CASE("caller memory: a single request that fits is refused, or its memory stays charged after it") {
     fixture f;
     for (int i = 0; i < 50; ++i) {
