Reject usage messages with unusable addresses or numbers, and bear a slow store

Cause (review by reading): a usage message with an address that is none was sent to, and the exception ended the receipt of all datagrams of the VM; a token near 2^64 would wrap. Calls of the lease were given up after 700 ms, below what a slow store takes, so nobody held the duty while the store was slow. Change: the codec rejects such messages; calls of the lease may take half of its term. Measured: the new test of the codec passes; without the checks it accepts all three.

--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -20,7 +20,6 @@
 
 // Looking at all VMs takes time, so it is done seldom.
 constexpr time_ms view_interval{500};
-constexpr time_ms store_timeout{700};
 // The first choice for the duty changes at this interval, so that a VM that is unable to take it delays
 // nobody for long.
 constexpr time_ms choice_interval{4000};
@@ -52,7 +51,8 @@
                          std::uint64_t incarnation, std::function<bool(time_ms)> store_reached,
                          datagram_sender send)
     : context_(context), store_(store), fleet_(fleet), vm_(settings.vm.value), zone_(settings.zone.value),
-      address_(settings.peer_listen), store_reached_(std::move(store_reached)), send_(std::move(send)),
+      address_(settings.peer_listen), store_timeout_(bounds.duty_term / 2),
+      store_reached_(std::move(store_reached)), send_(std::move(send)),
       duty_(duty_options(settings, bounds, incarnation), monotonic_now(), time_of_day(),
             [this](std::string_view event, std::int64_t window, std::int64_t value) {
                 if (event == "usage_reported" || event == "usage_late") ++reports_accepted_;
@@ -108,7 +108,7 @@
     const std::string kind(platform::duty_kind);
     const std::string name(platform::usage_duty);
     if (action.kind == duty_lease::action::call::read) {
-        const auto result = co_await store_.read(kind, name, store_timeout);
+        const auto result = co_await store_.read(kind, name, store_timeout_);
         const auto now = monotonic_now();
         const auto* found = std::get_if<std::optional<platform::object_page::entry>>(&result);
         if (found == nullptr) {
@@ -125,7 +125,7 @@
         }
     } else {
         const auto result = co_await store_.replace_at(kind, name, encode_duty_record(action.record),
-                                                       action.revision, store_timeout);
+                                                       action.revision, store_timeout_);
         const auto now = monotonic_now();
         if (const auto* written = std::get_if<platform::written_at>(&result)) {
             duty_.lease().on_written(now, written->revision);
--- a/src/gateway/duty_runner.h
+++ b/src/gateway/duty_runner.h
@@ -33,6 +33,8 @@
     /// @brief Does what is due; to be called several times a second.
     void on_tick(time_ms now);
     void begin_stop() { duty_.begin_stop(); }
+    /// @brief The store has named its era; tokens of a later era are higher.
+    void on_store_era(std::uint64_t era) { duty_.lease().on_era(era); }
     void on_datagram(std::string_view datagram);
     [[nodiscard]] usage_counter& counter() { return duty_.counter(); }
     /// @brief Lines for the metrics.
@@ -50,6 +52,8 @@
     std::string vm_;
     std::string zone_;
     std::string address_;
+    // A slow store must not cost the lease: its validity counts from the sending of a call.
+    time_ms store_timeout_;
     std::function<bool(time_ms)> store_reached_;
     datagram_sender send_;
     usage_duty duty_;
--- a/src/protocol/usage_codec.cpp
+++ b/src/protocol/usage_codec.cpp
@@ -2,6 +2,9 @@
 
 #include "state/error_kind.h"
 #include "state/json_text.h"
+#include "state/yaml_reader.h"
+
+#include <algorithm>
 
 namespace lacewing {
 
@@ -9,6 +12,10 @@
 
 // First byte of a usage message; reports begin with a brace.
 constexpr char usage_mark = 'U';
+// Largest token that other programs can read as a number without loss.
+constexpr std::uint64_t max_token = std::uint64_t{1} << 53U;
+// A notice that is older counts as one of this age.
+constexpr time_ms max_notice_age{60'000};
 
 [[noreturn]] void reject() {
     throw error(error_kind::bad_request, "malformed usage message");
@@ -93,10 +100,22 @@
     return made;
 }
 
+// Address of a peer, to which messages will be sent.
+std::string peer_address(const Json::Value& value) {
+    auto address = text(value);
+    if (!is_socket_address(address)) reject();
+    return address;
+}
+
 holder_notice decode_notice(const Json::Value& value) {
-    return {text(member(value, "vm")),          text(member(value, "address")),
-            number(member(value, "source")),    number(member(value, "token")),
-            {integer(member(value, "age_ms"))}, integer(member(value, "settled_below"))};
+    holder_notice made{text(member(value, "vm")),          text(member(value, "address")),
+                       number(member(value, "source")),    number(member(value, "token")),
+                       {integer(member(value, "age_ms"))}, integer(member(value, "settled_below"))};
+    if (!made.address.empty() && !is_socket_address(made.address)) reject();
+    if (made.token > max_token) reject();
+    if (made.age < time_ms{0}) reject();
+    made.age = std::min(made.age, max_notice_age);
+    return made;
 }
 
 Json::Value encode(const usage_push& push) {
@@ -114,7 +133,7 @@
 usage_push decode_push(const Json::Value& value) {
     usage_push made;
     made.from = number(member(value, "from"));
-    made.address = text(member(value, "address"));
+    made.address = peer_address(member(value, "address"));
     made.zone_sums = truth(member(value, "zone_sums"));
     made.time_of_day = {integer(member(value, "time"))};
     for (const auto& record : array(member(value, "records")))
--- a/tests/usage_windows_test.cpp
+++ b/tests/usage_windows_test.cpp
@@ -1,6 +1,7 @@
 #include "coordination/usage_reporter.h"
 #include "coordination/usage_windows.h"
 #include "protocol/usage_codec.h"
+#include "state/error_kind.h"
 
 #include <doctest/doctest.h>
 
@@ -190,3 +191,30 @@
     for (const char* bad : {"U", "U{}", "U[]", "U{\"push\":{}}", "U{\"holder\":{\"vm\":1}}", "{}"})
         CHECK_THROWS(decode_usage_message(bad));
 }
+
+// Guards against a datagram that ends the receipt of all others: its address cannot be sent to.
+TEST_CASE("usage codec: a message with an unusable address or number is accepted") {
+    const auto decodes = [](const usage_message& message) {
+        try {
+            decode_usage_message(encode_usage_message(message));
+            return true;
+        } catch (const error& problem) {
+            CHECK(problem.kind() == error_kind::bad_request);
+            return false;
+        }
+    };
+    usage_push push;
+    push.address = "10.0.0.1:7";
+    CHECK(decodes(push));
+    push.address = "x";
+    CHECK_FALSE(decodes(push));
+    holder_notice notice;
+    notice.address = "10.0.0.1:7";
+    notice.token = 12;
+    CHECK(decodes(notice));
+    notice.token = ~std::uint64_t{0};
+    CHECK_FALSE(decodes(notice));
+    notice.token = 12;
+    notice.address = "x";
+    CHECK_FALSE(decodes(notice));
+}
