Follow a store that comes back from an older copy

Cause: a restored store gives out revisions again under a higher Store-Era, which nothing read. A VM then took every list for outdated and saw no change until the store's revision had passed the one it knew; conditional writes could meet a revision that means something else. Objects whose content is the same are not applied again. Not covered: windows of the usage duty that a restored lease has lost, and an endpoint's leaving that the copy does not have yet.

--- a/src/gateway/object_copy.cpp
+++ b/src/gateway/object_copy.cpp
@@ -7,24 +7,39 @@
 
 namespace lacewing {
 
+namespace {
+
+// Whether two states of an object differ in more than their revisions.
+bool content_differs(const Json::Value& before, const Json::Value& after) {
+    return before["spec"] != after["spec"] || before["status"] != after["status"] ||
+           before["metadata"]["deleting"] != after["metadata"]["deleting"] ||
+           before["metadata"]["createdRev"] != after["metadata"]["createdRev"];
+}
+
+} // namespace
+
 object_changes object_copy::apply_list(platform::object_page page) {
     object_changes changes;
     if (known_ && page.as_of < as_of_) return changes;
     changes.applied = true;
+    // A restored store gives out revisions again, so equal ones do not mean equal objects.
+    const bool restored = known_ && platform::era_of(page.as_of) != platform::era_of(as_of_);
     std::map<std::string, Json::Value> listed;
     std::map<std::string, std::uint64_t> listed_revisions;
     for (auto& entry : page.entries) {
         const auto known = revisions_.find(entry.name);
         changed_revision_ = std::max(changed_revision_, entry.revision);
-        if (known == revisions_.end() || known->second != entry.revision)
-            changes.changed.push_back(entry.name);
+        const bool changed =
+            known == revisions_.end() || (restored ? content_differs(objects_.at(entry.name), entry.object)
+                                                   : known->second != entry.revision);
+        if (changed) changes.changed.push_back(entry.name);
         listed_revisions[entry.name] = entry.revision;
         listed[entry.name] = std::move(entry.object);
     }
     for (const auto& [name, object] : objects_) {
         if (!listed.contains(name)) changes.removed.push_back(name);
     }
-    if (!changes.removed.empty()) changed_revision_ = std::max(changed_revision_, page.as_of);
+    if (!changes.removed.empty() || restored) changed_revision_ = std::max(changed_revision_, page.as_of);
     objects_ = std::move(listed);
     revisions_ = std::move(listed_revisions);
     as_of_ = page.as_of;
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -172,6 +172,19 @@
     history_[kind].push_back({revision_, object, true});
 }
 
+void platform_stand_in::keep_store_copy() {
+    const std::lock_guard lock(mutex_);
+    copy_ = {revision_, objects_, history_};
+}
+
+void platform_stand_in::restore_store_copy() {
+    const std::lock_guard lock(mutex_);
+    revision_ = copy_.revision;
+    objects_ = copy_.objects;
+    history_ = copy_.history;
+    ++era_;
+}
+
 std::string platform_stand_in::version_move_state(const std::string& service) {
     const std::lock_guard lock(mutex_);
     const auto& status = objects_["rollouts"][service]["status"];
@@ -191,6 +204,7 @@
 
 http_response platform_stand_in::list_events(const std::string& kind, std::uint64_t after_revision) {
     const std::lock_guard lock(mutex_);
+    if (after_revision > revision_) return make_response(410, "{}");
     Json::Value body;
     body["events"] = Json::arrayValue;
     for (const auto& entry : history_[kind]) {
@@ -205,6 +219,13 @@
 }
 
 asio::awaitable<http_response> platform_stand_in::handle_store_request(http_request request) {
+    auto response = co_await answer_store_request(std::move(request));
+    const std::lock_guard lock(mutex_);
+    response.set("Store-Era", std::to_string(era_));
+    co_return response;
+}
+
+asio::awaitable<http_response> platform_stand_in::answer_store_request(http_request request) {
     if (store_down) throw close_without_response();
     const std::string target(request.target());
     const std::string prefix = "/-/objects/";
@@ -219,7 +240,8 @@
         const auto wait_ms = std::stoi(target.substr(target.find("waitMs=") + 7));
         for (int waited_ms = 0; waited_ms < wait_ms && !store_down; waited_ms += 10) {
             auto answer = list_events(kind, after_revision);
-            if (answer.body().find("\"object\"") != std::string::npos) co_return answer;
+            if (answer.result_int() == 410 || answer.body().find("\"object\"") != std::string::npos)
+                co_return answer;
             co_await pause(context_.get_executor(), 10);
         }
         if (store_down) throw close_without_response();
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -53,6 +53,11 @@
     /// @brief While set, the store closes connections without an answer.
     std::atomic<bool> store_down{false};
 
+    /// @brief Keeps a copy of the store's objects.
+    void keep_store_copy();
+    /// @brief Puts the store back to the copy that was kept: its revision goes back too, and its era rises.
+    void restore_store_copy();
+
     /// @brief Silences the connections to the store that are open now; new ones work.
     void silence_store_connections() { store_proxy_->silence(); }
 
@@ -130,6 +135,7 @@
     std::filesystem::path write_settings(std::size_t vm) const;
     [[nodiscard]] std::string with_raw_specs(std::string text) const;
     boost::asio::awaitable<http_response> handle_store_request(http_request request);
+    boost::asio::awaitable<http_response> answer_store_request(http_request request);
     boost::asio::awaitable<http_response> handle_endpoint_request(std::string id, std::string version,
                                                                   http_request request);
     http_response list_objects(const std::string& kind);
@@ -142,9 +148,17 @@
         bool deleted = false;
     };
     std::mutex mutex_;
+    /// @brief Objects of the store and the changes that watches can still get.
+    struct store_content {
+        std::uint64_t revision = 10;
+        std::map<std::string, std::map<std::string, Json::Value>> objects;
+        std::map<std::string, std::vector<change_event>> history;
+    };
     std::uint64_t revision_ = 10;
     std::map<std::string, std::map<std::string, Json::Value>> objects_;
     std::map<std::string, std::vector<change_event>> history_;
+    store_content copy_;
+    std::uint64_t era_ = 1;
     std::map<std::string, int> execution_counts_;
     std::map<std::string, int> arrival_counts_;
     std::map<std::string, execution> executions_;
--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -310,3 +310,36 @@
     CHECK(platform.arrival_count("e-1") == before + 1);
     CHECK(wait_until([&] { return status_with_key(platform, 0, "key") == 200; }, apply_bound));
 }
+
+// The store loses what it acknowledged last and gives out the same revisions again.
+TEST_CASE("platform: a store that is restored from an older copy brings an older configuration back, or "
+          "hides later "
+          "changes") {
+    platform_stand_in platform(2);
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "first"));
+    platform.add_endpoint("e-1", "s");
+    REQUIRE(platform.wait_all_ready());
+    platform.keep_store_copy();
+    const auto accepted_by_all = [&](const std::string& key) {
+        for (std::size_t vm = 0; vm < 2; ++vm) {
+            if (send_request(platform.caller_address(vm), "GET", "/read/x", request_headers("id", key))
+                    .status != 200)
+                return false;
+        }
+        return true;
+    };
+    platform.put_object("config", "main", platform_stand_in::configuration(2, "second"));
+    // Revisions that the restored store will give out for other changes.
+    for (int i = 0; i < 40; ++i)
+        platform.put_object("other", "x", "{}");
+    CHECK(wait_until([&] { return accepted_by_all("second"); }, {5'000}));
+    platform.restore_store_copy();
+    platform.put_object("evacuations", "south", "{}");
+    platform.put_object("config", "main", platform_stand_in::configuration(3, "third"));
+    CHECK(wait_until(
+        [&] {
+            CHECK_FALSE(accepted_by_all("first"));
+            return accepted_by_all("third");
+        },
+        {8'000}));
+}
