List small VMs only if each can bear its part, and watch closely what has tight bounds

Cause (review by reading): the list of entry VMs compared sums, while callers spread evenly, so one small VM beside four large ones would have got a fifth of the callers and the list would have flapped; a late tick weighed as little as a punctual one. Both watchers of a region could be lost with one zone, all kinds could lag, and a lagging copy that answers at once would have been asked without a pause. Change: smaller VMs are listed until the equal part fits the smallest one; ticks weigh by their time; each zone has a watcher; only registrations of endpoints and VMs may lag, with short waits and pauses.

--- a/src/coordination/entry_pool.cpp
+++ b/src/coordination/entry_pool.cpp
@@ -51,15 +51,18 @@
     double used = 0;
     for (const auto& item : sized)
         used += static_cast<double>(item.vm->processor_millicores) * item.vm->busy_permille / 1000;
+    const auto large =
+        static_cast<std::size_t>(std::count_if(sized.begin(), sized.end(), [&](const auto& item) {
+            return item.size >= large_vm_fraction * sized.front().size;
+        }));
+    // Callers spread evenly, so the smallest listed VM bounds what each may get.
+    auto count = std::max(large, std::min(min_listed, sized.size()));
+    while (count < sized.size() &&
+           used > max_planned_use * sized[count - 1].vm->processor_millicores * static_cast<double>(count))
+        ++count;
     std::vector<std::string> listed;
-    double capacity = 0;
-    for (const auto& item : sized) {
-        const bool large = item.size >= large_vm_fraction * sized.front().size;
-        const bool enough = listed.size() >= min_listed && used <= max_planned_use * capacity;
-        if (listed.size() == max_listed || (!large && enough)) break;
-        listed.emplace_back(item.vm->address);
-        capacity += item.vm->processor_millicores;
-    }
+    for (std::size_t i = 0; i < std::min(count, max_listed); ++i)
+        listed.emplace_back(sized[i].vm->address);
     return listed;
 }
 
--- a/src/coordination/entry_pool.h
+++ b/src/coordination/entry_pool.h
@@ -22,9 +22,9 @@
 /// @brief Chooses the VMs of one region that callers are told.
 ///
 /// Callers choose among the VMs that they are told at random, so a small VM would get as many of them as a
-/// large one, and its queue delays their requests. The large VMs are listed first; smaller ones follow, the
-/// larger first, while the listed ones have not enough spare processor time for what all VMs of the region
-/// use.
+/// large one, and its queue delays their requests. The large VMs are listed; smaller ones follow, the larger
+/// first, only if so many are needed that each of the listed ones, the smallest too, can bear its equal part
+/// of what all VMs of the region use.
 /// @param vms Ready VMs of one region, in any order.
 /// @param max_listed Largest number of addresses.
 /// @return Addresses; all of them if the VMs are of one size or a size is unknown.
--- a/src/coordination/fleet_view.cpp
+++ b/src/coordination/fleet_view.cpp
@@ -8,8 +8,9 @@
 
 // Key of the duty to watch the store for the region.
 constexpr std::string_view region_watch_key = "watch";
-// With two, the failure of one delays no change.
-constexpr std::size_t region_watchers = 2;
+// With two, the failure of one delays no change. Each zone has one, so that the loss of a zone leaves
+// another.
+constexpr std::size_t min_watchers = 2;
 // In a smaller region all VMs watch closely: their calls do not add up, and each sees a change by itself.
 constexpr std::size_t min_region_to_share_watches = 5;
 
@@ -131,13 +132,18 @@
     const auto own = duty_weight(region_watch_key, self_.vm.value);
     std::size_t region_vms = 1;
     std::size_t ranked_before = 0;
+    bool other_zones = false;
     for (const auto& [name, member] : members_) {
         if (!alive(member, now) || !member.report.store_reached || member.report.region != self_.region)
             continue;
         ++region_vms;
-        if (duty_weight(region_watch_key, name) > own) ++ranked_before;
+        if (member.report.zone != self_.zone) {
+            other_zones = true;
+        } else if (duty_weight(region_watch_key, name) > own) {
+            ++ranked_before;
+        }
     }
-    return region_vms < min_region_to_share_watches || ranked_before < region_watchers;
+    return region_vms < min_region_to_share_watches || ranked_before < (other_zones ? 1 : min_watchers);
 }
 
 bool fleet_view::ranks_first(std::string_view key, time_ms now, bool needs_store) const {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -40,8 +41,8 @@
 // A larger lag is logged: it is a noticeable part of the latency target of any service.
 constexpr time_ms min_logged_lag{100};
 constexpr time_ms maintenance_interval{1000};
-// Weight of one tick in the average load, which so follows the last two to three seconds.
-constexpr double load_sample_weight = 0.02;
+// Time constant of the average load.
+constexpr double load_memory_ms = 2500;
 // Lifetime of a lookup answer: long enough to save lookups, short enough for callers to leave a dead VM soon.
 constexpr time_ms max_lookup_lifetime{2000};
 constexpr time_ms store_write_timeout{1000};
@@ -58,10 +59,10 @@
 
 std::vector<mirrored_kind> mirrored_kinds() {
     return {{std::string(platform::configuration_kind)},
-            {std::string(platform::endpoint_kind)},
+            {std::string(platform::endpoint_kind), false, true},
             {std::string(platform::move_kind)},
             {std::string(platform::drain_kind)},
-            {std::string(platform::vm_kind), true}};
+            {std::string(platform::vm_kind), true, true}};
 }
 
 vm_report initial_report(const gateway_settings& settings, std::uint64_t seed) {
@@ -181,6 +182,7 @@
     callers_.set_patience([](const boost::beast::http::fields& fields) {
         return request_flow::patience(fields, platform::dialect);
     });
+    store_.on_era = [this](std::uint64_t era, bool first) { on_store_era(era, first); };
     callers_.listen(
         settings.caller_listen,
         static_cast<std::size_t>(static_cast<double>(settings.descriptors) * caller_descriptor_share));
@@ -367,6 +369,12 @@
     }
 }
 
+// Writes again what a store that was restored from an older copy may have lost of this VM's own.
+void gateway::on_store_era(std::uint64_t era, bool first) {
+    if (duty_ != nullptr) duty_->on_store_era(era);
+    if (!first) asio::co_spawn(context_, register_vm(), asio::detached);
+}
+
 // Handles the report of the sender and those that it passes on.
 void gateway::on_datagram(std::string_view datagram) {
     if (is_usage_message(datagram)) {
@@ -582,7 +590,9 @@
 void gateway::measure_load() {
     const auto lag = static_cast<double>(loop_lag_.count);
     const double busy = lag / (lag + static_cast<double>(tick_interval.count));
-    busy_permille_ += load_sample_weight * (1000 * busy - busy_permille_);
+    // A late tick stands for more time.
+    const double weight = 1 - std::exp(-(lag + static_cast<double>(tick_interval.count)) / load_memory_ms);
+    busy_permille_ += weight * (1000 * busy - busy_permille_);
     fleet_.set_own_load(static_cast<std::uint32_t>(busy_permille_));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,6 +62,7 @@
     void catch_up_with(const vm_report& report);
     boost::asio::awaitable<void> fetch_snapshot(std::string address, std::string kind);
     boost::asio::awaitable<void> register_vm();
+    void on_store_era(std::uint64_t era, bool first);
     boost::asio::awaitable<void> write_move(move_write write);
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> run_maintenance();
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -22,6 +22,8 @@
 constexpr time_ms watch_wait_per_vm{400};
 constexpr time_ms max_watch_wait{4100};
 constexpr time_ms watch_grace{400};
+// A watch that may lag ends soon, so that a VM that takes the duty over watches closely soon.
+constexpr time_ms lagging_watch_wait{1500};
 // For kinds whose changes the reports of the VMs carry as well.
 constexpr time_ms relaxed_watch_wait{5000};
 // Pause after a failed call: calls to a store that does not answer are billed too.
@@ -47,6 +49,7 @@
     for (const auto& kind : kinds) {
         kinds_[kind.name];
         if (kind.reported_by_vms) relaxed_kinds_.insert(kind.name);
+        if (kind.may_lag) lagging_kinds_.insert(kind.name);
     }
 }
 
@@ -64,6 +67,7 @@
 
 time_ms store_mirror::watch_wait(const std::string& kind) {
     if (relaxed_kinds_.contains(kind)) return relaxed_watch_wait;
+    if (may_lag(kind)) return lagging_watch_wait;
     const auto longest = std::min(max_watch_wait, min_watch_wait + watch_wait_per_vm * (live_vms_ - 1));
     std::uniform_int_distribution<std::int64_t> wait(min_watch_wait.count, longest.count);
     return {wait(random_)};
@@ -74,8 +78,8 @@
         co_return co_await store_.list(kind, list_timeout);
     }
     co_return co_await store_.watch(kind, kinds_[kind].as_of(), watch_wait(kind), watch_grace,
-                                    watches_for_region_ ? platform::watch_freshness::current
-                                                        : platform::watch_freshness::may_lag);
+                                    may_lag(kind) ? platform::watch_freshness::may_lag
+                                                  : platform::watch_freshness::current);
 }
 
 // Lists a kind, then watches it; lists it again when the store no longer has the events after the known
@@ -85,6 +89,7 @@
     bool must_list = true;
     bool failed_before = false;
     for (;;) {
+        const auto asked = monotonic_now();
         auto result = co_await fetch(kind, must_list);
         const auto now = monotonic_now();
         if (const auto* problem = std::get_if<platform::call_failed>(&result)) {
@@ -99,6 +104,8 @@
         on_success(now);
         if (std::holds_alternative<platform::history_lost>(result)) {
             log(log_level::info, "store_history_lost", {{"kind", kind}, {"revision", copy.as_of()}});
+            // A copy that lags may not have the listed revision yet and answer the same again.
+            if (may_lag(kind)) co_await wait_random(min_retry_pause, max_retry_pause);
             must_list = true;
             continue;
         }
@@ -117,7 +124,11 @@
         } else {
             const bool any_events = !page.entries.empty();
             auto changes = copy.apply_events(page);
-            if (!any_events) continue;
+            if (!any_events) {
+                // A copy that is behind the watched revision may answer at once.
+                if (now - asked < min_watch_wait) co_await wait_random(min_retry_pause, max_retry_pause);
+                continue;
+            }
             publish(kind, std::move(changes), change_source::store);
             co_await wait_random(event_batch_pause, event_batch_pause);
         }
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -40,6 +40,9 @@
     std::string name;
     /// The reports between VMs carry the same changes, so the store's own may come later.
     bool reported_by_vms = false;
+    /// Changes are many, and a second's delay of one harms nobody: the copy of a VM that does not watch for
+    /// its region may lag.
+    bool may_lag = false;
 };
 
 /// @brief Local copy of some kinds of objects in the platform's store, kept current by watches.
@@ -88,6 +91,9 @@
     boost::asio::awaitable<void> list_and_watch(std::string kind);
     boost::asio::awaitable<void> wait_random(time_ms min_wait, time_ms max_wait);
     [[nodiscard]] time_ms watch_wait(const std::string& kind);
+    [[nodiscard]] bool may_lag(const std::string& kind) const {
+        return !watches_for_region_ && lagging_kinds_.contains(kind);
+    }
     [[nodiscard]] boost::asio::awaitable<platform::page_result> fetch(std::string kind, bool must_list);
     void publish(const std::string& kind, object_changes changes, change_source source);
     void on_success(time_ms now);
@@ -98,6 +104,7 @@
     platform::object_store& store_;
     std::map<std::string, object_copy> kinds_;
     std::set<std::string> relaxed_kinds_;
+    std::set<std::string> lagging_kinds_;
     std::int64_t live_vms_ = 1;
     bool watches_for_region_ = true;
     std::mt19937_64 random_;
--- a/tests/entry_pool_test.cpp
+++ b/tests/entry_pool_test.cpp
@@ -59,7 +59,7 @@
 TEST_CASE("entry pool: a region whose large VMs are busy keeps its callers on them") {
     region_vms vms;
     vms.add("small", 16, 100, 10, 500).add("large", 4, 500, 200, 700);
-    // 4 x 350 + 16 x 50 thousandths are in use, of which the listed VMs should offer twice as much.
+    // 4 x 350 + 16 x 50 thousandths are in use: 550 for each of the large VMs alone.
     const auto listed = vms.listed();
     CHECK(count_prefix(listed, "large") == 4);
     CHECK(count_prefix(listed, "small") == 16);
@@ -74,6 +74,17 @@
     CHECK(listed.size() < 17);
 }
 
+TEST_CASE("entry pool: a few small VMs are listed that get as many callers as the large ones and cannot bear "
+          "them") {
+    // 1,050 thousandths are in use, a little over half of the large VMs'. One small VM more would get a
+    // fifth.
+    region_vms vms;
+    vms.add("small", 30, 100, 10, 0).add("large", 4, 500, 200, 525);
+    const auto listed = vms.listed();
+    CHECK(listed.size() >= 21);
+    CHECK(count_prefix(listed, "large") == 4);
+}
+
 TEST_CASE("entry pool: VMs of one size are left out") {
     region_vms vms;
     vms.add("vm", 20, 200, 1000, 10);
