Let VMs that do not watch for their region wait longer, and satisfy the linter

Change: a VM that is not its zone's watcher waits 5 s; a change still answers at once, and the reports of the watchers cover a silent connection. Braces and a reserve as the linter asks.

--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -68,6 +68,8 @@
 time_ms store_mirror::watch_wait(const std::string& kind) {
     if (relaxed_kinds_.contains(kind)) return relaxed_watch_wait;
     if (may_lag(kind)) return lagging_watch_wait;
+    // The reports of the watching VMs show a change that a silent connection hides.
+    if (!watches_for_region_) return relaxed_watch_wait;
     const auto longest = std::min(max_watch_wait, min_watch_wait + watch_wait_per_vm * (live_vms_ - 1));
     std::uniform_int_distribution<std::int64_t> wait(min_watch_wait.count, longest.count);
     return {wait(random_)};
@@ -105,7 +107,9 @@
         if (std::holds_alternative<platform::history_lost>(result)) {
             log(log_level::info, "store_history_lost", {{"kind", kind}, {"revision", copy.as_of()}});
             // A copy that lags may not have the listed revision yet and answer the same again.
-            if (may_lag(kind)) co_await wait_random(min_retry_pause, max_retry_pause);
+            if (may_lag(kind)) {
+                co_await wait_random(min_retry_pause, max_retry_pause);
+            }
             must_list = true;
             continue;
         }
@@ -126,7 +130,9 @@
             auto changes = copy.apply_events(page);
             if (!any_events) {
                 // A copy that is behind the watched revision may answer at once.
-                if (now - asked < min_watch_wait) co_await wait_random(min_retry_pause, max_retry_pause);
+                if (now - asked < min_watch_wait) {
+                    co_await wait_random(min_retry_pause, max_retry_pause);
+                }
                 continue;
             }
             publish(kind, std::move(changes), change_source::store);
--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -461,11 +461,12 @@
             .name(report.region.value)
             .name(report.peer_address)
             .name(report.caller_address);
-        if (report.processor_millicores != 0 || report.link_mbps != 0)
+        if (report.processor_millicores != 0 || report.link_mbps != 0) {
             out.field("cap")
                 .number(report.processor_millicores)
                 .number(report.link_mbps)
                 .number(report.busy_permille);
+        }
     }
     if (!report.revisions.empty()) {
         auto items = out.field("rev");
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -112,6 +112,7 @@
 
 TEST_CASE("fleet view: the watchers of a large region are too many, or none is left when they fail") {
     std::vector<std::string> names;
+    names.reserve(20);
     for (int i = 0; i < 20; ++i)
         names.push_back("vm-" + std::to_string(i));
     const auto watchers = [&names](time_ms now, std::size_t silent_from, bool store_reached) {
