--- a/src/protocol/report_codec.cpp
+++ b/src/protocol/report_codec.cpp
@@ -243,7 +243,7 @@
     if (!is_socket_address(report.peer_address)) reject("a peer message has an invalid address");
 }
 
-// Thousandths of a core, Mbit/s of the link, thousandths of the processor time in use.
+// Thousandths of a core, Mbit/s of the link, thousandths of the time that events wait.
 void decode_capacity(std::string_view value, vm_report& report) {
     item_reader in(value);
     report.processor_millicores = in.tag();
