--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -336,7 +336,7 @@
                 attempt_fixture fixture({{part, !reset, reset}, {answer("next")}});
                 fixture.patience = time_ms{3000};
                 const auto result = fixture.run([]() -> asio::awaitable<std::optional<std::string>> {
-                    constexpr std::size_t piece_bytes = 64 * 1024;
+                    constexpr std::size_t piece_bytes = std::size_t{64} * 1024;
                     co_return std::string(piece_bytes, 'u');
                 });
                 CHECK(result.outcome != attempt_end::answered);
