Let the test of endless bytes of another VM name revisions of a later era

Change: the reports name revisions of a later era, as the test means "newer"; its checks and bounds are untouched.

--- a/tests/system/endless_bytes_test.cpp
+++ b/tests/system/endless_bytes_test.cpp
@@ -6,6 +6,7 @@
 
 #include "coordination/vm_report.h"
 #include "platform/dialect.h"
+#include "platform/object_store.h"
 #include "protocol/report_codec.h"
 #include "transport/ip_address.h"
 #include "transport/monotonic_clock.h"
@@ -136,8 +137,10 @@
     report.peer_address = peer_address;
     report.caller_address = peer_address;
     report.ready = true;
+    // Newer than all of the store, whose revisions have its era in their upper bits.
+    constexpr std::uint64_t newer_era = 1'000;
     for (const auto* kind : {"config", "servers", "rollouts", "evacuations", "entryvms"})
-        report.revisions[kind] = 1'000'000;
+        report.revisions[kind] = newer_era << platform::era_shift;
     return report;
 }
 
