--- a/review/stand_ins_2/stand_in.cpp
+++ b/review/stand_ins_2/stand_in.cpp
@@ -239,7 +239,8 @@
     }
     const auto length_text = into.header("content-length");
     if (length_text.empty()) {
-        if (!is_answer || into.status() == 204 || into.status() == 304) return read_end::complete;
+        const int status = into.status();
+        if (!is_answer || status < 200 || status == 204 || status == 304) return read_end::complete;
         for (;;) {
             if (const auto stop = more()) {
                 into.body = std::exchange(rest, {});
