Keep the cases 6 and 9 inside the doses of the site file

Case 6 spoiled all answers of the faulty upstreams; the site file has up to 0.4 of the answers, on up to 0.7 of the upstreams. Case 9 slowed all upstreams of a service; the site file has a share of up to 0.4. Now case 6 spoils two of five answers of half of the upstreams, and case 9 slows the four of ten upstreams that stand in the home of the added route.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -10,8 +10,11 @@
 namespace {
 
 constexpr int upstream_count = 12;
-// A quarter of the upstreams, for 6 s: the site file plays "garble" on a share of up to 0.7, for up to 6 s.
-constexpr int faulty_count = 3;
+// Half of the upstreams spoil two of five answers for 6 s: the site file plays "garble" on a share of up to
+// 0.7, with up to 0.4 of the answers, for up to 6 s.
+constexpr int faulty_count = 6;
+constexpr int answers_in_turn = 5;
+constexpr int spoiled_in_turn = 2;
 constexpr int client_count = 60;
 constexpr int work_ms = 300;
 constexpr int balance_timeout_ms = 1000;
@@ -49,6 +52,7 @@
                                          payment_timeout_ms, 400, 1)},
                              {make_service("balance-svc")}));
     std::atomic<bool> in_trouble{false};
+    std::atomic<int> answers{0};
     std::vector<std::unique_ptr<upstream>> upstreams;
     for (int i = 1; i <= upstream_count; ++i) {
         upstreams.push_back(std::make_unique<upstream>(platform, "i-" + std::to_string(i), "balance-svc",
@@ -58,7 +62,7 @@
         if (i > faulty_count) continue;
         upstreams.back()->on_request = [&](upstream& self, const message& request, connection& from,
                                            bool& keep) {
-            if (!in_trouble) return false;
+            if (!in_trouble || answers++ % answers_in_turn >= spoiled_in_turn) return false;
             keep = false;
             const auto id = request.header("X-Lacewingplank-Attempt-Id");
             record("upstream ", self.id(), " answers ", id, " with bytes without end");
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -11,9 +11,12 @@
 // As the site's register-read: work 144 ms, time limit and timeout 800 ms.
 constexpr int usual_work_ms = 144;
 constexpr int timeout_ms = 800;
-// 5.4 times the usual work; the site file plays "srv_slow" with up to 12 times, for up to 9 s.
+// 5.4 times the usual work at four of the ten upstreams; the site file plays "srv_slow" with up to 12 times,
+// on a share of up to 0.4, for up to 9 s.
 constexpr int slow_work_ms = 778;
 constexpr int slow_for_ms = 9'000;
+constexpr int first_slow = 7;
+constexpr int last_slow = 10;
 constexpr int client_count = 12;
 
 struct tally {
@@ -30,15 +33,19 @@
     const std::string host = "hulo84.example";
     const auto balance =
         make_route("balance-check", host, "/balance/", "idempotent", "balance-svc", timeout_ms, 250, 2);
-    const auto added =
+    auto added =
         make_route("register-read", host, "/register/", "idempotent", "register-svc", timeout_ms, 250, 2);
+    // The slow upstreams are all those of the route's home.
+    added["allowedRegions"].append("bagmati");
     const std::vector<Json::Value> services{make_service("balance-svc"), make_service("register-svc")};
     platform.put("config", "main", make_config(1, {balance}, services));
     std::vector<std::unique_ptr<upstream>> upstreams;
-    for (int i = 1; i <= 12; ++i) {
+    for (int i = 1; i <= 16; ++i) {
         upstreams.push_back(std::make_unique<upstream>(
             platform, "i-" + std::to_string(i), i <= 6 ? "balance-svc" : "register-svc",
-            i % 2 == 0 ? "bagmati-lalitpur" : "gandaki-pokhara",
+            i <= last_slow && i % 2 == 0        ? "bagmati-lalitpur"
+            : i <= last_slow && i >= first_slow ? "bagmati-bhaktapur"
+                                                : "gandaki-pokhara",
             network() + std::to_string(100 + i) + ":9000", usual_work_ms));
     }
     const std::vector<std::string> seeds{machine::control_address(1), machine::control_address(2)};
@@ -50,12 +57,12 @@
     if (!wait_until([&] { return first.ready() && second.ready(); }, 20'000)) std::_Exit(2);
     sleep_ms(4000);
     const auto set_work = [&](int ms) {
-        for (std::size_t i = 6; i < upstreams.size(); ++i)
-            upstreams[i]->work_ms = ms;
+        for (std::size_t i = first_slow; i <= last_slow; ++i)
+            upstreams[i - 1]->work_ms = ms;
     };
     if (trouble()) {
         set_work(slow_work_ms);
-        record("the upstreams of register-svc turn slow");
+        record("the upstreams of register-svc in bagmati turn slow");
     }
     const auto slow_until = now_ms() + slow_for_ms;
     sleep_ms(500);
@@ -98,7 +105,7 @@
     }
     sleep_ms(std::max<std::int64_t>(0, slow_until - now_ms()));
     set_work(usual_work_ms);
-    record("the upstreams of register-svc are as fast as before");
+    record("the upstreams of register-svc in bagmati are as fast as before");
     // Far longer than `stability` (4 s).
     sleep_ms(10'000);
     count_from = now_ms();
