Encode the names of stored objects in the targets of calls

After a restart of all processes no VM got ready, and almost no request was served while the entry stood.

Cause: object_store::list() put the last name of a page into "after=" as it is, so the store refused the next page or began it elsewhere; read(), replace(), replace_at() and update_status() put names into paths in the same way.

Change: names are percent-encoded in queries and paths. The system tests' stand-in of the store now gives pages, decodes targets, and refuses malformed ones and unknown parameters.

--- a/src/protocol/url.cpp
+++ b/src/protocol/url.cpp
@@ -33,7 +33,21 @@
 
 bool is_unreserved(char c) {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
-           c == '.' || c == '_' || c == '~' || c == '/';
+           c == '.' || c == '_' || c == '~';
+}
+
+// Percent-encodes all characters except unreserved ones and those in `kept`.
+std::string encode_except(std::string_view text, std::string_view kept) {
+    std::string encoded;
+    encoded.reserve(text.size());
+    for (const char c : text) {
+        if (is_unreserved(c) || kept.find(c) != std::string_view::npos) {
+            encoded.push_back(c);
+        } else {
+            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+        }
+    }
+    return encoded;
 }
 
 } // namespace
@@ -62,16 +76,11 @@
 }
 
 std::string percent_encode(std::string_view text) {
-    std::string encoded;
-    encoded.reserve(text.size());
-    for (const char c : text) {
-        if (is_unreserved(c)) {
-            encoded.push_back(c);
-        } else {
-            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
-        }
-    }
-    return encoded;
+    return encode_except(text, "/");
+}
+
+std::string percent_encode_segment(std::string_view text) {
+    return encode_except(text, "");
 }
 
 std::uint64_t parse_number(std::string_view text, std::string_view field) {
--- a/src/protocol/url.h
+++ b/src/protocol/url.h
@@ -24,6 +24,10 @@
 /// @brief Percent-encodes all characters except unreserved ones (RFC 3986) and '/'.
 std::string percent_encode(std::string_view text);
 
+/// @brief Percent-encodes all characters except unreserved ones, for one segment of a path or one value of a
+/// query.
+std::string percent_encode_segment(std::string_view text);
+
 /// @brief Parses a text that consists of one unsigned decimal number.
 /// @param field Name of the field for the error detail.
 /// @throws error with error_kind::bad_request for any other text.
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "platform_stand_in.h"
 
+#include "../store_target.h"
 #include "platform/dialect.h"
 #include "transport/monotonic_clock.h"
 
@@ -191,17 +192,27 @@
     return status.isObject() ? status["state"].asString() : "";
 }
 
-http_response platform_stand_in::list_objects(const std::string& kind) {
+http_response platform_stand_in::list_objects(const std::string& kind, const std::string& after) {
     const std::lock_guard lock(mutex_);
     Json::Value body;
     body["items"] = Json::arrayValue;
-    for (const auto& [name, object] : objects_[kind])
-        body["items"].append(object);
-    body["hasMore"] = false;
+    const auto& objects = objects_[kind];
+    auto object = objects.upper_bound(after);
+    for (; object != objects.end() && body["items"].size() < page_objects; ++object)
+        body["items"].append(object->second);
+    body["hasMore"] = object != objects.end();
     body["asOf"] = Json::UInt64(revision_);
     return make_response(200, with_raw_specs(json_text(body)));
 }
 
+http_response platform_stand_in::read_object(const std::string& kind, const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    const auto& objects = objects_[kind];
+    const auto found = objects.find(name);
+    if (found == objects.end()) return make_response(404, "{}");
+    return make_response(200, with_raw_specs(json_text(found->second)));
+}
+
 http_response platform_stand_in::list_events(const std::string& kind, std::uint64_t after_revision) {
     const std::lock_guard lock(mutex_);
     if (after_revision > revision_) return make_response(410, "{}");
@@ -227,17 +238,19 @@
 
 asio::awaitable<http_response> platform_stand_in::answer_store_request(http_request request) {
     if (store_down) throw close_without_response();
-    const std::string target(request.target());
-    const std::string prefix = "/-/objects/";
-    const auto query = target.find('?');
-    const auto path = target.substr(prefix.size(), query - prefix.size());
-    const auto slash = path.find('/');
-    const auto kind = path.substr(0, slash);
+    const auto target = parse_store_target(std::string(request.target()));
+    if (!target || target->segments.size() > 3) co_return make_response(400, "{}");
+    const auto& kind = target->segments.front();
+    const auto name = target->segments.size() > 1 ? target->segments[1] : std::string();
+    const auto parameter = [&](std::string_view key) {
+        const auto found = target->query.find(key);
+        return found == target->query.end() ? std::string() : found->second;
+    };
     if (request.method() == boost::beast::http::verb::get) {
-        const auto watch = target.find("watch=");
-        if (watch == std::string::npos) co_return list_objects(kind);
-        const auto after_revision = std::stoull(target.substr(watch + 6));
-        const auto wait_ms = std::stoi(target.substr(target.find("waitMs=") + 7));
+        if (!name.empty()) co_return read_object(kind, name);
+        if (parameter("watch").empty()) co_return list_objects(kind, parameter("after"));
+        const auto after_revision = std::stoull(parameter("watch"));
+        const auto wait_ms = std::stoi(parameter("waitMs"));
         for (int waited_ms = 0; waited_ms < wait_ms && !store_down; waited_ms += 10) {
             auto answer = list_events(kind, after_revision);
             if (answer.result_int() == 410 || answer.body().find("\"object\"") != std::string::npos)
@@ -249,16 +262,15 @@
     }
     const auto body = parse_json(request.body());
     if (request.method() == boost::beast::http::verb::post) {
-        const auto name = body["metadata"]["name"].asString();
+        const auto new_name = body["metadata"]["name"].asString();
         {
             const std::lock_guard lock(mutex_);
-            if (objects_[kind].contains(name)) co_return make_response(409, "{}");
+            if (objects_[kind].contains(new_name)) co_return make_response(409, "{}");
         }
-        put_object(kind, name, json_text(body["spec"]));
+        put_object(kind, new_name, json_text(body["spec"]));
         co_return make_response(200, "{}");
     }
-    const auto name = path.substr(slash + 1, path.find('/', slash + 1) - slash - 1);
-    if (!path.ends_with("/status")) {
+    if (target->segments.size() < 3) {
         put_object(kind, name, json_text(body["spec"]));
         co_return make_response(200, "{}");
     }
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -50,6 +50,8 @@
     void delete_object(const std::string& kind, const std::string& name);
     /// @brief State of the version move of a service; empty when the VMs have written none.
     [[nodiscard]] std::string version_move_state(const std::string& service);
+    /// @brief Most objects in one page of a list.
+    std::atomic<std::size_t> page_objects{500};
     /// @brief While set, the store closes connections without an answer.
     std::atomic<bool> store_down{false};
 
@@ -138,7 +140,8 @@
     boost::asio::awaitable<http_response> answer_store_request(http_request request);
     boost::asio::awaitable<http_response> handle_endpoint_request(std::string id, std::string version,
                                                                   http_request request);
-    http_response list_objects(const std::string& kind);
+    http_response list_objects(const std::string& kind, const std::string& after);
+    http_response read_object(const std::string& kind, const std::string& name);
     http_response list_events(const std::string& kind, std::uint64_t after_revision);
 
     /// @brief One write or deletion of an object.
--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -189,6 +189,44 @@
     CHECK(status_with_key(platform, 0, "key") == 200);
 }
 
+// The list of endpoints has several pages, and each of these names is the last one of a page. The processes
+// start with such a list.
+TEST_CASE(
+    "platform trouble: an entry with reserved characters in its name keeps restarted VMs from serving") {
+    constexpr int endpoints = 8;
+    platform_stand_in platform(2);
+    platform.page_objects = 1;
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
+    for (int i = 0; i < endpoints; ++i)
+        platform.add_endpoint(fmt::format("e-{}", i), "s");
+    REQUIRE(platform.wait_all_ready());
+    for (const auto* name : {"a&b", "a#b", "a%xb", "a b", "\xC3\xA9", "a+b", "a%41", "a/b", "a?b",
+                             "e-3&after=e-6", "e-4%", "e-5 "}) {
+        for (const auto* kind : {"servers", "rollouts", "entryvms"})
+            platform.put_object(kind, name, R"({"of":"another writer"})");
+    }
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        platform.vm_process(vm).kill();
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        platform.start_vm(vm);
+    REQUIRE(platform.wait_all_ready());
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CAPTURE(vm);
+        std::vector<int> before;
+        for (int i = 0; i < endpoints; ++i)
+            before.push_back(platform.execution_count(fmt::format("e-{}", i)));
+        // Every endpoint is used, so the list was read to its end.
+        CHECK(wait_until([&] {
+            CHECK(status_with_key(platform, vm, "key") == 200);
+            for (int i = 0; i < endpoints; ++i) {
+                if (platform.execution_count(fmt::format("e-{}", i)) == before[static_cast<std::size_t>(i)])
+                    return false;
+            }
+            return true;
+        }));
+    }
+}
+
 TEST_CASE("platform trouble: an entry that has become unreadable is still used as an endpoint") {
     platform_stand_in platform(1);
     platform.put_object("config", "main", platform_stand_in::configuration(1, "key"));
