--- a/tests/object_codec_test.cpp
+++ b/tests/object_codec_test.cpp
@@ -77,6 +77,19 @@
     CHECK_THROWS_AS(platform::decode_endpoint(invalid), config_error);
 }
 
+// The id is sent in a header line, which a line end would split.
+TEST_CASE("object codec: an endpoint whose name holds a control character is used") {
+    for (const std::string name : {"a\r\nX-Key: 1", "a\n", "\x01", "a\x7f"}) {
+        CAPTURE(name);
+        auto object = parse_json(endpoint_json);
+        object["metadata"]["name"] = name;
+        CHECK_THROWS_AS(platform::decode_endpoint(object), config_error);
+    }
+    auto object = parse_json(endpoint_json);
+    object["metadata"]["name"] = "a & b";
+    CHECK(platform::decode_endpoint(object).id.value == "a & b");
+}
+
 TEST_CASE("object codec: rejects a malformed version or duration") {
     for (const auto* version : {"12", "r", "r1x", "v1", ""}) {
         Json::Value spec;
