End only the request whose answer cannot be read

Change, of the class and not only the case: - Answers are read with growing_body, whose memory follows the bytes that arrive. - An exception within an attempt ends it as broken, with its connection. One in writing the request closes the connection, so that its answer is not waited for. - The slot and the disconnect handlers are given back by destructors. - An exception of a request closes its caller's connection by a reset. A field of a caller that the parser cannot store is answered 431. - The accept loop is started anew after an exception; other detached coroutines log it (transport/detached). - The reader of the system tests had the same fault and uses growing_body as well.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "protocol/framing.h"
 #include "protocol/growing_body.h"
 #include "state/error_kind.h"
+#include "transport/detached.h"
 #include "transport/ip_address.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
@@ -11,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace lacewing {
 
@@ -191,6 +193,19 @@
                                 });
     }
     void clear_disconnect_handler() { on_disconnect_ = nullptr; }
+    /// Clears the disconnect handler at the end of the scope, before what the handler refers to is destroyed.
+    class disconnect_scope {
+    public:
+        explicit disconnect_scope(connection& conn) : conn_(conn) {}
+        ~disconnect_scope() { conn_.clear_disconnect_handler(); }
+        disconnect_scope(const disconnect_scope&) = delete;
+        disconnect_scope& operator=(const disconnect_scope&) = delete;
+        disconnect_scope(disconnect_scope&&) = delete;
+        disconnect_scope& operator=(disconnect_scope&&) = delete;
+
+    private:
+        connection& conn_;
+    };
 
     asio::awaitable<bool> write(std::string_view head, std::string_view body) {
         const scoped_deadline limit(deadlines_, monotonic_now() + write_stall_timeout,
@@ -291,7 +306,13 @@
     parse_result result;
     while (!parser.is_done() && buffer.size() > 0) {
         error_code failure;
-        const auto used = parser.put(buffer.data(), failure);
+        std::size_t used = 0;
+        try {
+            used = parser.put(buffer.data(), failure);
+        } catch (const std::length_error&) {
+            // A field that the parser cannot store.
+            failure = http::error::header_limit;
+        }
         buffer.consume(used);
         if (failure == http::error::need_more) {
             if (buffer.size() > max_unparsed_bytes && parser.is_header_done())
@@ -380,7 +401,7 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(local);
     acceptor_.listen();
-    asio::co_spawn(context_, accept(), asio::detached);
+    spawn_lasting(context_, "accept_callers", [this] { return accept(); });
 }
 
 asio::awaitable<void> caller_server::accept() {
@@ -410,7 +431,7 @@
         }
         auto accepted = std::make_shared<connection>(std::move(socket), deadlines_, memory_);
         accepted->list_position = connections_.insert(connections_.end(), accepted);
-        asio::co_spawn(context_, serve_connection(std::move(accepted)), asio::detached);
+        asio::co_spawn(context_, serve_connection(std::move(accepted)), log_exception{"serve_connection"});
     }
 }
 
@@ -594,6 +615,7 @@
     fill_request(conn, reading, request);
     answer_framing framing;
     framing.close = wants_close(request.fields, request.version);
+    const connection::disconnect_scope scope(*conn);
     if (parser.is_done()) {
         conn->start_read([&request] {
             request.caller_left = true;
@@ -621,7 +643,14 @@
         const auto idle = first ? bounds.header_timeout : bounds.idle_timeout + idle_timeout_margin;
         if (!co_await conn->wait_for_request(monotonic_now() + idle)) break;
         conn->set_busy(true);
-        end = co_await serve_request(conn, bounds);
+        try {
+            end = co_await serve_request(conn, bounds);
+        } catch (const std::exception& problem) {
+            // Whatever has been sent, the caller must not take it for a whole answer.
+            log(log_level::error, "caller_request_failed", {{"reason", problem.what()}});
+            conn->reset();
+            end = connection_action::close;
+        }
         // A connection that is about to close stays busy, so that close_idle() does not cut its last answer.
         if (end != connection_action::keep) break;
         conn->set_busy(false);
--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -1,6 +1,9 @@
 #include "gateway/endpoint_attempt.h"
 
+#include "protocol/growing_body.h"
+#include "transport/detached.h"
 #include "transport/ip_address.h"
+#include "transport/log.h"
 #include "transport/monotonic_clock.h"
 #include "transport/reset_on_close.h"
 
@@ -17,7 +20,7 @@
 
 namespace {
 
-using answer_parser = http::response_parser<http::string_body>;
+using answer_parser = http::response_parser<growing_body>;
 
 // Buffer for the first read of an answer, kept by idle connections; most answers fit into it.
 constexpr std::size_t initial_read_bytes = std::size_t{4} * 1024;
@@ -137,7 +140,19 @@
     request_write_ = std::make_shared<request_write>();
     request_write_->connection = connection_;
     request_write_->message = std::move(message);
-    asio::co_spawn(connection_->stream.get_executor(), write_request(request_write_), asio::detached);
+    asio::co_spawn(connection_->stream.get_executor(), write_request(request_write_),
+                   [state = request_write_](const std::exception_ptr& problem) {
+                       if (problem) fail_write(*state, problem);
+                   });
+}
+
+// Ends a request that cannot be written further. Without its connection, the answer is not waited for.
+void endpoint_attempt::fail_write(request_write& state, const std::exception_ptr& problem) {
+    log(log_level::error, "request_write_failed",
+        {{"id", state.message.attempt_id}, {"reason", describe(problem)}});
+    state.failed = true;
+    error_code ignored;
+    state.connection->stream.socket().close(ignored);
 }
 
 asio::awaitable<void> endpoint_attempt::write_request(std::shared_ptr<request_write> state) {
@@ -193,8 +208,7 @@
     pool_.put_idle(connection_, monotonic_now());
 }
 
-asio::awaitable<endpoint_result> endpoint_attempt::read_answer(const answer_sink& sink) {
-    endpoint_result result;
+asio::awaitable<void> endpoint_attempt::read_answer(const answer_sink& sink, endpoint_result& result) {
     auto& buffer = connection_->buffer;
     const auto& message = request_write_->message;
     std::size_t skipped_bytes = 0;
@@ -217,11 +231,11 @@
             if (!own_answer) skipped_bytes += parsed_bytes;
             if (failure && failure != http::error::need_more) {
                 result.reason = "malformed answer: " + failure.message();
-                co_return result;
+                co_return;
             }
             if (skipped_bytes > max_skipped_bytes || (failure && buffer.size() > max_unparsed_bytes)) {
                 result.reason = "too many bytes that belong to no answer";
-                co_return result;
+                co_return;
             }
             if (parser.is_header_done() && !head_checked) {
                 head_checked = true;
@@ -229,7 +243,7 @@
                 const auto kind = kind_of_status(head.result_int());
                 if (kind == status_kind::invalid) {
                     result.reason = fmt::format("{} is not the status of an answer", head.result_int());
-                    co_return result;
+                    co_return;
                 }
                 interim = kind == status_kind::interim;
                 const auto echoed = head[dialect_.attempt_id];
@@ -238,7 +252,7 @@
                 const bool error_without_id = echoed.empty() && head.result_int() >= 400;
                 if (error_without_id && !connect_duration_) {
                     result.reason = "an error without an attempt id on a connection that was in use before";
-                    co_return result;
+                    co_return;
                 }
                 id_matches = error_without_id || echoed == message.attempt_id;
             }
@@ -250,26 +264,26 @@
                 answer.not_run = states_not_run(answer, dialect_, message.attempt_id);
                 if (answer.unproven_refusal()) {
                     result.reason = fmt::format("a long answer {} that does not say not run", answer.status);
-                    co_return result;
+                    co_return;
                 }
                 // Whether the caller may be told so depends on the other sends as well.
                 if (answer.not_run) {
                     result.outcome = attempt_end::not_run;
                     result.names_request = true;
                     result.answer = std::move(answer);
-                    co_return result;
+                    co_return;
                 }
                 const auto length = declared_length(parser);
                 result.streamed = true;
                 if (!co_await sink.begin(answer, length)) {
                     result.outcome = attempt_end::abandoned;
-                    co_return result;
+                    co_return;
                 }
             }
             if (result.streamed && !parser.get().body().empty()) {
                 if (!co_await sink.write(parser.get().body())) {
                     result.outcome = attempt_end::abandoned;
-                    co_return result;
+                    co_return;
                 }
                 result.streamed_bytes += parser.get().body().size();
                 parser.get().body().clear();
@@ -287,7 +301,7 @@
             result.reason = fmt::format("the connection ended {}: {}",
                                         parser.is_header_done() ? "within the answer" : "before an answer",
                                         failure ? failure.message() : "closed");
-            co_return result;
+            co_return;
         }
         if (interim) continue;
         if (!id_matches) {
@@ -310,21 +324,32 @@
                          : failed       ? attempt_end::failed
                                         : attempt_end::answered;
         result.answer = std::move(answer);
-        co_return result;
+        co_return;
     }
 }
 
 asio::awaitable<endpoint_result> endpoint_attempt::run(std::string address, attempt_message message,
                                                        answer_sink sink) {
     endpoint_result result;
-    if (!co_await connect(address, message.attempt_id)) {
-        result.outcome = aborted_ ? attempt_end::abandoned : attempt_end::unreachable;
-        result.unsent = true;
-        result.reason = fmt::format("no connection to {}", address);
+    try {
+        if (co_await connect(address, message.attempt_id)) {
+            start_request_write(message);
+            co_await read_answer(sink, result);
+        } else {
+            result.outcome = aborted_ ? attempt_end::abandoned : attempt_end::unreachable;
+            result.reason = fmt::format("no connection to {}", address);
+        }
+    } catch (const std::exception& problem) {
+        // The parser throws for a field that it cannot store.
+        result.outcome = attempt_end::broken;
+        result.answer.reset();
+        result.reason = fmt::format("the answer cannot be read: {}", problem.what());
+    }
+    result.unsent = request_write_ == nullptr;
+    if (result.unsent) {
+        connection_ = nullptr;
         co_return result;
     }
-    start_request_write(message);
-    result = co_await read_answer(sink);
     result.new_connection = connect_duration_.has_value();
     if (aborted_) {
         result.outcome = attempt_end::abandoned;
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -7,6 +7,7 @@
 #include "state/time_ms.h"
 #include "transport/endpoint_connection_pool.h"
 
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -93,7 +94,8 @@
     endpoint_attempt(endpoint_connection_pool& pool, deadline_queue& deadlines, const caller_dialect& dialect)
         : pool_(pool), deadlines_(deadlines), dialect_(dialect) {}
 
-    /// @brief Sends the request and reads its answer.
+    /// @brief Sends the request and reads its answer. A standard exception, whoever throws it, ends the
+    /// attempt with the outcome `broken`.
     /// @param address ip:port of the endpoint.
     /// @param sink Receives an answer of more than max_buffered_answer_bytes.
     boost::asio::awaitable<endpoint_result> run(std::string address, attempt_message message,
@@ -114,7 +116,8 @@
     boost::asio::awaitable<bool> connect(std::string address, std::string attempt_id);
     void start_request_write(attempt_message& message);
     static boost::asio::awaitable<void> write_request(std::shared_ptr<request_write> state);
-    boost::asio::awaitable<endpoint_result> read_answer(const answer_sink& sink);
+    static void fail_write(request_write& state, const std::exception_ptr& problem);
+    boost::asio::awaitable<void> read_answer(const answer_sink& sink, endpoint_result& result);
     boost::asio::awaitable<bool> read_more(boost::system::error_code& failure);
     [[nodiscard]] request_progress progress() const;
     void return_to_pool(const boost::beast::http::fields& fields);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -87,6 +87,53 @@
     endpoint_attempt* attempt_;
 };
 
+/// Aborts an attempt when its caller disconnects, for the scope.
+class disconnect_abort {
+public:
+    disconnect_abort(caller_request& request, endpoint_attempt& attempt) : request_(request) {
+        request_.on_disconnect = [&attempt] { attempt.abort(); };
+    }
+    ~disconnect_abort() { request_.on_disconnect = nullptr; }
+    disconnect_abort(const disconnect_abort&) = delete;
+    disconnect_abort& operator=(const disconnect_abort&) = delete;
+    disconnect_abort(disconnect_abort&&) = delete;
+    disconnect_abort& operator=(disconnect_abort&&) = delete;
+
+private:
+    caller_request& request_;
+};
+
+/// A request that counts as sent to an endpoint until end(), or until an exception leaves the scope.
+class counted_send {
+public:
+    counted_send(endpoint_selector& selector, endpoint_state& endpoint, const endpoint_request& query,
+                 const backend_service* service, time_ms started, bool warm)
+        : selector_(selector), endpoint_(endpoint), query_(query), service_(service), started_(started),
+          warm_(warm) {
+        selector_.on_send(started_, endpoint_, query_, service_);
+    }
+    ~counted_send() {
+        if (!ended_) end(monotonic_now(), attempt_end::broken);
+    }
+    void end(time_ms now, attempt_end outcome) {
+        ended_ = true;
+        selector_.on_end(now, endpoint_, query_, started_, warm_, outcome, service_);
+    }
+    counted_send(const counted_send&) = delete;
+    counted_send& operator=(const counted_send&) = delete;
+    counted_send(counted_send&&) = delete;
+    counted_send& operator=(counted_send&&) = delete;
+
+private:
+    endpoint_selector& selector_;
+    endpoint_state& endpoint_;
+    const endpoint_request& query_;
+    const backend_service* service_;
+    time_ms started_;
+    bool warm_;
+    bool ended_ = false;
+};
+
 } // namespace
 
 request_flow::request_flow(deadline_queue& deadlines, endpoint_connection_pool& pool,
@@ -357,7 +404,7 @@
     context.tried.push_back(id);
     context.endpoint = id;
     context.warm = choice.warm;
-    selector_.on_send(started, *endpoint, query, context.service);
+    counted_send send(selector_, *endpoint, query, context.service, started, choice.warm);
     if (endpoint->limit.per_s()) ++counters_.sent_to_limited_endpoints;
     // The head of a long answer tells the limit well before the end of its body.
     const answer_sink learning_sink{[this, &context, &endpoint, &sink](const endpoint_answer& answer,
@@ -367,10 +414,10 @@
                                     },
                                     sink.write};
     endpoint_attempt current_attempt(pool_, deadlines_, dialect_);
-    context.request->on_disconnect = [&current_attempt] { current_attempt.abort(); };
     endpoint_result result;
     bool overdue = false;
     {
+        const disconnect_abort on_disconnect(*context.request, current_attempt);
         const scoped_deadline limit(deadlines_, context.deadline,
                                     [&current_attempt] { current_attempt.expire(); });
         const sent_request sent{context.service_name, endpoint->registration.version,
@@ -389,7 +436,6 @@
                                               make_attempt_message(context, id, context.deadline - started),
                                               learning_sink);
     }
-    context.request->on_disconnect = nullptr;
     const auto now = monotonic_now();
     if (current_attempt.connect_duration())
         selector_.on_connect(*endpoint, *current_attempt.connect_duration());
@@ -400,7 +446,7 @@
         if (result.answer->status == 421) endpoint->replaced = true;
         if (!result.streamed) learn_endpoint_word(context, *endpoint, *result.answer);
     }
-    selector_.on_end(now, *endpoint, query, started, choice.warm, result.outcome, context.service);
+    send.end(now, result.outcome);
     record_version_outcome(context, *endpoint, choice, result, now - started, overdue);
     if (result.outcome == attempt_end::answered) {
         answer_sizes_.on_answer(context.route->name.value,
--- a/tests/caller_server_test.cpp
+++ b/tests/caller_server_test.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -20,11 +21,19 @@
     explicit server_fixture(std::size_t max_connections)
         : held(context, std::chrono::steady_clock::time_point::max()),
           server(
-              context, deadlines, [] { return caller_bounds{}; },
+              context, deadlines, [this] { return bounds; },
               [this](caller_request& request, const answer_sink& sink) -> asio::awaitable<caller_answer> {
                   if (request.target.starts_with("/cut")) {
                       co_return co_await cut_answer(request.target, sink);
                   }
+                  if (request.target.starts_with("/throw")) {
+                      if (request.target == "/throw/streaming") co_await cut_answer("/cut/length", sink);
+                      // The caller may leave while the exception is still to come.
+                      boost::system::error_code woken;
+                      if (request.target == "/throw/slow")
+                          co_await held.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+                      throw std::length_error("a test");
+                  }
                   if (request.target == "/slow") {
                       boost::system::error_code woken;
                       co_await held.async_wait(asio::redirect_error(asio::use_awaitable, woken));
@@ -135,6 +144,7 @@
 
     asio::io_context context;
     deadline_queue deadlines;
+    caller_bounds bounds;
     asio::steady_timer held;
     caller_server server;
     tcp::endpoint address;
@@ -193,6 +203,44 @@
     }
 }
 
+// Whatever throws while a request is handled, only its connection ends. Nothing may refer to the request
+// after that.
+TEST_CASE(
+    "caller server: an exception keeps a connection open without an answer, or others from being served") {
+    for (const std::string target : {"/throw", "/throw/streaming", "/throw/slow"}) {
+        CAPTURE(target);
+        server_fixture fixture(4);
+        for (int i = 0; i < 8; ++i) {
+            auto socket = fixture.connect();
+            fixture.send(*socket, target);
+            if (target == "/throw/slow") {
+                fixture.receive(*socket);
+                fixture.held.cancel();
+            }
+            CHECK_FALSE(fixture.receive_whole(*socket));
+            CHECK(fixture.server.connections() == 0);
+        }
+        auto other = fixture.connect();
+        CHECK(fixture.ask(*other, "/x") == "HTTP/1.1 200 OK");
+    }
+}
+
+TEST_CASE(
+    "caller server: a field of about 64 kB ends the process or keeps its connection without an answer") {
+    const std::string field = "X-Filler: " + std::string(66'000, 'x') + "\r\n\r\n";
+    for (const std::string& text :
+         {"GET /x HTTP/1.1\r\nHost: h\r\n" + field,
+          "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + field}) {
+        server_fixture fixture(4);
+        fixture.bounds.header_bytes = 1'000'000;
+        auto socket = fixture.connect();
+        asio::async_write(*socket, asio::buffer(text), asio::detached);
+        CHECK(fixture.receive(*socket) == "HTTP/1.1 431 Request Header Fields Too Large");
+        auto other = fixture.connect();
+        CHECK(fixture.ask(*other, "/x") == "HTTP/1.1 200 OK");
+    }
+}
+
 // Guards against a caller that takes the memory of the process before its key is checked.
 TEST_CASE("caller server: a chunk extension or a trailer without end is buffered") {
     constexpr std::string_view head = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <exception>
 #include <limits>
 #include <random>
 #include <string>
@@ -54,15 +55,19 @@
         endpoint_result result;
         bool done = false;
         const scoped_deadline limit(deadlines, monotonic_now() + patience, [&] { attempt.expire(); });
+        std::exception_ptr thrown;
         const auto body = [&]() -> asio::awaitable<void> {
             result = co_await attempt.run(address, message, sink);
-            done = true;
         };
-        asio::co_spawn(context, body(), asio::detached);
+        asio::co_spawn(context, body(), [&](const std::exception_ptr& problem) {
+            done = true;
+            thrown = problem;
+        });
         while (!done) {
             context.run_one_for(std::chrono::milliseconds(20));
             deadlines.tick(monotonic_now());
         }
+        if (thrown) std::rethrow_exception(thrown);
         return result;
     }
 
@@ -461,6 +466,58 @@
     CHECK(fixture.streamed.size() <= fixture.max_streamed_bytes + std::size_t{1} * 1024 * 1024);
 }
 
+// The library's own body allocates the announced length when the head is complete.
+TEST_CASE("endpoint attempt: an announced length beyond any memory drops the request") {
+    constexpr std::array<std::uint64_t, 6> lengths{1'000'000'000'000,
+                                                   1'000'000'000'000'000'000,
+                                                   (std::uint64_t{1} << 63U) - 1,
+                                                   std::uint64_t{1} << 63U,
+                                                   std::numeric_limits<std::uint64_t>::max() - 1,
+                                                   std::numeric_limits<std::uint64_t>::max()};
+    for (const auto length : lengths) {
+        CAPTURE(length);
+        const auto head =
+            fmt::format("HTTP/1.1 200 OK\r\nX-Lacewingplank-Attempt-Id: {}\r\nContent-Length: {}"
+                        "\r\n\r\n",
+                        id, length);
+        // Bytes without end are passed on as they arrive.
+        attempt_fixture endless({{head, false, false, "x"}});
+        endless.max_streamed_bytes = 1'000'000;
+        auto result = endless.run();
+        CHECK(result.streamed);
+        CHECK_FALSE(result.stream_complete);
+        CHECK(endless.streamed_length == length);
+        CHECK(endless.streamed.size() < 2'000'000);
+        // A part of the body is not taken for the whole.
+        attempt_fixture cut({{head + "a part", true}});
+        result = cut.run();
+        CHECK(result.outcome == attempt_end::broken);
+        CHECK_FALSE(result.answer);
+        CHECK_FALSE(result.unsent);
+    }
+    attempt_fixture too_large({{fmt::format("HTTP/1.1 200 OK\r\nX-Lacewingplank-Attempt-Id: {}\r\n"
+                                            "Content-Length: 18446744073709551616\r\n\r\nx",
+                                            id)}});
+    CHECK(too_large.run().outcome == attempt_end::broken);
+}
+
+// The library throws for a field that it cannot store.
+TEST_CASE("endpoint attempt: a field of about 64 kB drops the request, or is taken for an answer") {
+    for (const std::size_t value_bytes : {65'000, 65'500, 65'531, 65'532, 65'533, 65'534, 66'000, 70'000}) {
+        CAPTURE(value_bytes);
+        const auto field = "X-Filler: " + std::string(value_bytes, 'x') + "\r\n\r\n";
+        const auto head = fmt::format("HTTP/1.1 200 OK\r\nX-Lacewingplank-Attempt-Id: {}\r\n", id);
+        for (const auto& text :
+             {head + field, head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + field}) {
+            attempt_fixture fixture({{text}, {answer("next")}});
+            const auto result = fixture.run();
+            CHECK((result.outcome == attempt_end::broken || result.outcome == attempt_end::answered));
+            CHECK_FALSE(result.unsent);
+            CHECK(fixture.run().answer->body == "next");
+        }
+    }
+}
+
 TEST_CASE("endpoint attempt: a silent endpoint blocks a request forever") {
     attempt_fixture fixture({{""}});
     const auto result = fixture.run();
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.h"
 
+#include "protocol/growing_body.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <json/reader.h>
@@ -21,6 +23,7 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -211,8 +214,9 @@
 }
 
 http_answer raw_connection::receive(time_ms timeout) {
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(std::uint64_t{1} << 32U);
+    // Its memory follows the bytes that arrive, also when more are announced than there is memory.
+    http::response_parser<growing_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser.header_limit(64 * 1024);
     parser.eager(true);
     const auto end = clock::now() + std::chrono::milliseconds(timeout.count);
--- a/tests/system/unreliable_endpoints.cpp
+++ b/tests/system/unreliable_endpoints.cpp
@@ -144,13 +144,19 @@
                                                                 std::uint64_t kind) {
     const auto head = fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n", platform::dialect.attempt_id, attempt_id);
     const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
-    const std::array<std::array<std::string, 2>, 7> kinds{{{"", "x"},
-                                                           {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-                                                           {head + "X-Filler: ", "x"},
-                                                           {head, "X-Filler: x\r\n"},
-                                                           {chunked + "1;", "x"},
-                                                           {chunked + "1\r\nx\r\n0\r\n", "X-Filler: x\r\n"},
-                                                           {head + "\r\n", "x"}}};
+    // A field of a trailer that is longer than the parser can store.
+    const auto long_trailer = "0\r\nX-Filler: " + std::string(66'000, 'x') + "\r\n\r\n";
+    const std::array<std::array<std::string, 2>, 10> kinds{
+        {{"", "x"},
+         {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+         {head + "X-Filler: ", "x"},
+         {head, "X-Filler: x\r\n"},
+         {chunked + "1;", "x"},
+         {chunked + "1\r\nx\r\n0\r\n", "X-Filler: x\r\n"},
+         {head + "\r\n", "x"},
+         {head + "Content-Length: 1000000000000000000\r\n\r\n", "x"},
+         {head + "Content-Length: 18446744073709551615\r\n\r\n", "x"},
+         {chunked + long_trailer, "x"}}};
     const auto& [begin, repeated] = kinds[kind % kinds.size()];
     std::string piece = repeated;
     while (faults_.endless_pause_ms == 0 && piece.size() < max_head_bytes)
