Keep a long trailer from ending the process

Change: the buffer of such connections is smaller than the longest field that the parser can store, so a longer one ends as buffer overflow (431 for a caller). Whatever else a handler throws is logged, and the event loop goes on; the gateway's lasting coroutines (tick, maintenance, watches of the store, reports of other VMs, registration) are started anew.

--- a/src/daemon/control_thread.cpp
+++ b/src/daemon/control_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/key_policy.h"
 #include "state/json_text.h"
+#include "transport/detached.h"
 #include "transport/host.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
@@ -130,7 +131,7 @@
 
 void control_thread::start() {
     asio::co_spawn(context_, tick_loop(), asio::detached);
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ = std::thread([this] { run_event_loop(context_); });
 }
 
 void control_thread::stop() {
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -1,5 +1,7 @@
 #include "daemon/operator_port.h"
 
+#include "transport/detached.h"
+
 #include <prometheus/text_serializer.h>
 
 #include <fmt/format.h>
@@ -63,7 +65,7 @@
 }
 
 void operator_port::start() {
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ = std::thread([this] { run_event_loop(context_); });
 }
 
 void operator_port::stop() {
--- a/src/daemon/serve_thread.cpp
+++ b/src/daemon/serve_thread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/serve_thread.h"
 
 #include "daemon/request_path.h"
+#include "transport/detached.h"
 #include "transport/ip_address.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
@@ -62,7 +63,7 @@
 void serve_thread::start() {
     asio::co_spawn(context_, accept_callers(), asio::detached);
     asio::co_spawn(context_, tick_loop(), asio::detached);
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ = std::thread([this] { run_event_loop(context_); });
 }
 
 void serve_thread::stop() {
@@ -86,15 +87,7 @@
             log(log_level::warn, "caller_connection_limit", {{"limit", max_connections}});
             continue;
         }
-        asio::co_spawn(context_, serve_caller(std::move(socket), state_),
-                       [](const std::exception_ptr& problem) {
-                           if (!problem) return;
-                           try {
-                               std::rethrow_exception(problem);
-                           } catch (const std::exception& reason) {
-                               log(log_level::error, "caller_session_failed", {{"reason", reason.what()}});
-                           }
-                       });
+        asio::co_spawn(context_, serve_caller(std::move(socket), state_), log_exception{"serve_caller"});
     }
 }
 
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -3,6 +3,7 @@
 #include "platform/object_codec.h"
 #include "protocol/usage_codec.h"
 #include "state/error_kind.h"
+#include "transport/detached.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
@@ -99,9 +100,9 @@
     deliver(duty_.step(now, time_of_day()));
     auto action = duty_.next_store_call(now);
     if (action.kind != duty_lease::action::call::none)
-        asio::co_spawn(context_, call_store(std::move(action)), asio::detached);
+        asio::co_spawn(context_, call_store(std::move(action)), log_exception{"duty_store_call"});
     if (auto report = duty_.next_report(now))
-        asio::co_spawn(context_, send_report(std::move(*report)), asio::detached);
+        asio::co_spawn(context_, send_report(std::move(*report)), log_exception{"duty_report"});
 }
 
 asio::awaitable<void> duty_runner::call_store(duty_lease::action action) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "protocol/usage_codec.h"
 #include "state/configuration.h"
 #include "state/yaml_reader.h"
+#include "transport/detached.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
@@ -212,9 +213,9 @@
          {"store", settings_.store},
          {"version", LACEWING_VERSION}});
     mirror_.start();
-    asio::co_spawn(context_, tick(), asio::detached);
-    asio::co_spawn(context_, run_maintenance(), asio::detached);
-    asio::co_spawn(context_, register_vm(), asio::detached);
+    spawn_lasting(context_, "tick", [this] { return tick(); });
+    spawn_lasting(context_, "maintenance", [this] { return run_maintenance(); });
+    spawn_lasting(context_, "register_vm", [this] { return register_vm(); });
     asio::signal_set signals(context_, SIGTERM, SIGINT, SIGHUP);
     std::function<void(const boost::system::error_code&, int)> on_signal =
         [&](const boost::system::error_code& failure, int number) {
@@ -222,12 +223,12 @@
             if (number == SIGHUP) {
                 reload();
             } else if (!leaving_) {
-                asio::co_spawn(context_, stop(), asio::detached);
+                asio::co_spawn(context_, stop(), log_exception{"stop"});
             }
             signals.async_wait(on_signal);
         };
     signals.async_wait(on_signal);
-    context_.run();
+    run_event_loop(context_);
     log(log_level::info, "stopped", {{"vm", settings_.vm.value}, {"requests", flow_.counters().requests}});
 }
 
@@ -373,7 +374,7 @@
 // Writes again what a store that was restored from an older copy may have lost of this VM's own.
 void gateway::on_store_era(std::uint64_t era, bool first) {
     if (duty_ != nullptr) duty_->on_store_era(era);
-    if (!first) asio::co_spawn(context_, register_vm(), asio::detached);
+    if (!first) spawn_lasting(context_, "register_vm", [this] { return register_vm(); });
 }
 
 // Handles the report of the sender and those that it passes on.
@@ -432,7 +433,7 @@
         if (!own || !catch_up_.on_report(now, kind, revision, *own)) continue;
         log(log_level::info, "behind_another_vm",
             {{"kind", kind}, {"revision", *own}, {"vm", report.vm.value}, {"reported", revision}});
-        asio::co_spawn(context_, fetch_snapshot(address, kind), asio::detached);
+        asio::co_spawn(context_, fetch_snapshot(address, kind), log_exception{"fetch_snapshot"});
     }
 }
 
@@ -543,7 +544,7 @@
                                                                    : driver_rank::stand_by;
         });
         for (const auto& write : writes)
-            asio::co_spawn(context_, write_move(write), asio::detached);
+            asio::co_spawn(context_, write_move(write), log_exception{"write_move"});
         send_reports();
         if (duty_ != nullptr) duty_->on_tick(now);
     }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peer_exchange.h"
 
 #include "state/error_kind.h"
+#include "transport/detached.h"
 #include "transport/http_client.h"
 #include "transport/ip_address.h"
 #include "transport/log.h"
@@ -43,7 +44,7 @@
     limits.body_bytes = max_request_body_bytes;
     limits.connections = max_fetching_peers;
     server_ = std::make_unique<http_server>(context.get_executor(), address, limits, answer);
-    asio::co_spawn(context_, receive(), asio::detached);
+    spawn_lasting(context_, "receive_reports", [this] { return receive(); });
 }
 
 asio::awaitable<void> peer_exchange::receive() {
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_mirror.h"
 
 #include "state/error_kind.h"
+#include "transport/detached.h"
 #include "transport/log.h"
 #include "transport/monotonic_clock.h"
 
@@ -58,7 +59,7 @@
 
 void store_mirror::start() {
     for (const auto& [kind, state] : kinds_)
-        asio::co_spawn(context_, list_and_watch(kind), asio::detached);
+        spawn_lasting(context_, "store_mirror", [this, kind = kind] { return list_and_watch(kind); });
 }
 
 asio::awaitable<void> store_mirror::wait_random(time_ms min_wait, time_ms max_wait) {
--- a/src/protocol/framing.h
+++ b/src/protocol/framing.h
@@ -12,8 +12,9 @@
 namespace lacewing {
 
 /// Bytes that a connection keeps before they are parsed: a head, a chunk header with its extension, or
-/// trailers. A peer that sends more without the end of a line is disconnected.
-inline constexpr std::size_t max_connection_buffer_bytes = std::size_t{128} * 1024;
+/// trailers. A peer that sends more without the end of a line is disconnected. Beast throws for a field of
+/// 65,534 bytes or more, and its own reads throw out of the event loop.
+inline constexpr std::size_t max_connection_buffer_bytes = 65'533;
 /// Interim (1xx) answers before the answer to a request; more end the connection.
 inline constexpr int max_interim_answers = 16;
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -49,6 +50,37 @@
           "HTTP/1.1 431 Request Header Fields Too Large");
 }
 
+// The library throws for a field that it cannot store, out of the event loop.
+TEST_CASE("http server: a trailer of about 64 kB ends the process") {
+    for (const std::size_t value_bytes : {65'000, 65'530, 65'534, 66'000, 100'000}) {
+        CAPTURE(value_bytes);
+        const auto line = status_line("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: "
+                                      "chunked\r\n\r\n5\r\nhello\r\n"
+                                      "0\r\nX-Filler: " +
+                                      std::string(value_bytes, 'x') + "\r\n\r\n");
+        CHECK((line == "HTTP/1.1 431 Request Header Fields Too Large" || line == "HTTP/1.1 200 OK"));
+    }
+}
+
+TEST_CASE("http client: a trailer of about 64 kB ends the process") {
+    for (const std::size_t value_bytes : {65'000, 65'530, 65'534, 66'000, 100'000}) {
+        CAPTURE(value_bytes);
+        asio::io_context loop;
+        testing::scripted_endpoint server(
+            loop, {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: " +
+                    std::string(value_bytes, 'x') + "\r\n\r\n"}});
+        http_client client(loop.get_executor(), server.address());
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            try {
+                const auto response = co_await client.request("GET", "/", {}, "", time_ms{5000});
+                CHECK(response.body() == "x");
+            } catch (const http_error& problem) {
+                CHECK(problem.failure() == http_failure::malformed_answer);
+            }
+        });
+    }
+}
+
 // Guards against a client that opens a connection per request or returns the response to another request.
 TEST_CASE("http client reuses its connection and returns each response to its own request") {
     asio::io_context loop;
--- a/tests/system/bad_input_test.cpp
+++ b/tests/system/bad_input_test.cpp
@@ -47,6 +47,21 @@
     CHECK(system.execution_count() == before);
 }
 
+// The library throws for a field of about 64 kB, which ended the process.
+TEST_CASE("bad input: a trailer of about 64 kB ends the VM") {
+    auto& system = shared_deployment();
+    for (const std::size_t value_bytes : {65'000, 65'533, 65'534, 66'000, 100'000}) {
+        CAPTURE(value_bytes);
+        exchange_raw(system.caller_address(1),
+                     fmt::format("POST /r/balance/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: {}\r\n\r\n",
+                                 system.office_key(), std::string(value_bytes, 'x')));
+        CHECK(send_request(system.caller_address(1), "GET", "/r/balance/x",
+                           {{"Authorization", "Bearer " + std::string(system.office_key())}})
+                  .status == 200);
+    }
+}
+
 TEST_CASE("bad input: a body of unknown length is parsed as the next request") {
     auto& system = shared_deployment();
     const auto before = system.execution_count();
