Keep an announced length from ending a client of the store

The client has a limit of body bytes, but when head and body are parsed together this version of Beast loses the error of a length over the limit, and string_body allocates the length.

Change: http_client reads the head by itself, then the body.

Evidence: "http client: an announced length beyond any memory*" fails before (std::bad_alloc for 2^40 bytes and a byte of the body) and passes after.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -113,7 +113,14 @@
         read.emplace();
         read->body_limit(options.max_response_bytes);
         if (request.method() == http::verb::head) read->skip(true);
-        co_await http::async_read(connection->stream, connection->buffer, *read, await_with_error(failure));
+        // The head by itself: when both are parsed together, this version of Beast loses the error of a
+        // length over the limit, and allocates that length.
+        co_await http::async_read_header(connection->stream, connection->buffer, *read,
+                                         await_with_error(failure));
+        if (!failure && !read->is_done()) {
+            co_await http::async_read(connection->stream, connection->buffer, *read,
+                                      await_with_error(failure));
+        }
         if (failure || kind_of_status(read->get().result_int()) != status_kind::interim) break;
     }
     if (!failure && kind_of_status(read->get().result_int()) != status_kind::final)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -62,6 +62,31 @@
     }
 }
 
+// The library allocates the announced length when the first bytes of the body arrive with the head.
+TEST_CASE("http client: an announced length beyond any memory ends the process") {
+    for (const std::uint64_t length : {std::uint64_t{1} << 27U, std::uint64_t{1} << 40U,
+                                       std::uint64_t{1} << 60U, (std::uint64_t{1} << 63U) - 1,
+                                       std::uint64_t{1} << 63U, std::numeric_limits<std::uint64_t>::max()}) {
+        for (const std::string body : {"", "x"}) {
+            CAPTURE(length);
+            CAPTURE(body);
+            asio::io_context loop;
+            testing::scripted_endpoint server(
+                loop, {{fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", length, body)}});
+            http_client client(loop.get_executor(), server.address());
+            run_until_done(loop, [&]() -> asio::awaitable<void> {
+                auto failure = http_failure::connect_failed;
+                try {
+                    co_await client.request("GET", "/", {}, "", time_ms{5000});
+                } catch (const http_error& problem) {
+                    failure = problem.failure();
+                }
+                CHECK(failure == http_failure::malformed_answer);
+            });
+        }
+    }
+}
+
 TEST_CASE("http client: a trailer of about 64 kB ends the process") {
     for (const std::size_t value_bytes : {65'000, 65'530, 65'534, 66'000, 100'000}) {
         CAPTURE(value_bytes);
