Accept an answer whose head arrives before its body

The error is lost only when a byte of the body arrives in the same read.

Change: the largest number is the limit, as on the own interface already. The clients for the store and other VMs, the servers of the gateway and both sides of the own interface have limits that are numbers; tests with heads that come alone and byte by byte were added for the http client and server.

--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace lacewing {
 
@@ -215,7 +216,9 @@
     for (;;) {
         answer_parser parser;
         parser.header_limit(max_answer_head_bytes);
-        parser.body_limit(boost::none);
+        // boost::none would mean no limit, but this version of Beast then rejects a Content-Length whose body
+        // does not arrive with the head.
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
         parser.eager(true);
         if (message.is_head_request) parser.skip(true);
         error_code failure;
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -113,6 +113,32 @@
     CHECK(fixture.endpoint.connections == 1);
 }
 
+// The library reports an empty body limit as exceeded when the head arrives in a read of its own.
+TEST_CASE("endpoint attempt: an answer whose head arrives before its body is thrown away") {
+    for (const auto framing : {body_framing::length, body_framing::chunks, body_framing::close}) {
+        for (const std::size_t body_bytes : {std::size_t{1}, std::size_t{100}, std::size_t{300'000}}) {
+            const auto text = framed_answer(framing, std::string(body_bytes, 'b'));
+            const auto head_bytes = text.find("\r\n\r\n") + 4;
+            for (const std::size_t piece_bytes :
+                 {head_bytes, head_bytes - 1, head_bytes + 1, std::size_t{1}}) {
+                if (piece_bytes == 1 && body_bytes > 1000) continue;
+                CAPTURE(static_cast<int>(framing));
+                CAPTURE(body_bytes);
+                CAPTURE(piece_bytes);
+                scripted_endpoint::script script{text, framing == body_framing::close};
+                script.piece_bytes = piece_bytes;
+                attempt_fixture fixture({script});
+                fixture.patience = time_ms{10'000};
+                const auto result = fixture.run();
+                CHECK(result.reason == "");
+                CHECK(result.outcome == attempt_end::answered);
+                CHECK((result.streamed ? fixture.streamed : result.answer->body) ==
+                      std::string(body_bytes, 'b'));
+            }
+        }
+    }
+}
+
 TEST_CASE("endpoint attempt: an answer to another request is delivered") {
     attempt_fixture fixture({{answer("other", "b2") + answer("own")}, {answer("next")}});
     const auto result = fixture.run();
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -3,6 +3,7 @@
 
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/ip_address.h"
 
 #include <doctest/doctest.h>
 
@@ -106,6 +107,44 @@
     }
 }
 
+// The library reports an empty body limit as exceeded when a head arrives without its body.
+TEST_CASE("http client: a response whose head arrives before its body is thrown away") {
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    for (const auto piece_bytes : {text.size() - 5, text.size() - 4, std::size_t{1}}) {
+        CAPTURE(piece_bytes);
+        asio::io_context loop;
+        testing::scripted_endpoint::script script{text};
+        script.piece_bytes = piece_bytes;
+        testing::scripted_endpoint server(loop, {script});
+        http_client client(loop.get_executor(), server.address());
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            const auto response = co_await client.request("GET", "/", {}, "", time_ms{5000});
+            CHECK(response.body() == "hello");
+        });
+    }
+}
+
+TEST_CASE("http server: a request whose head arrives before its body is refused") {
+    const std::string text = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+    for (const auto piece_bytes : {text.size() - 5, text.size() - 4, std::size_t{1}}) {
+        CAPTURE(piece_bytes);
+        asio::io_context loop;
+        http_server server(loop.get_executor(), "127.0.0.1:0", {}, echo);
+        run_until_done(loop, [&]() -> asio::awaitable<void> {
+            asio::ip::tcp::socket socket(loop);
+            co_await socket.async_connect(parse_socket_address(server.address()), asio::use_awaitable);
+            testing::scripted_endpoint::script script{text};
+            script.piece_bytes = piece_bytes;
+            boost::system::error_code failure;
+            co_await testing::scripted_endpoint::write_pieces(socket, script, failure);
+            std::string received;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "/x|hello",
+                                            asio::use_awaitable);
+            CHECK(received.starts_with("HTTP/1.1 200 OK"));
+        });
+    }
+}
+
 // Guards against a client that opens a connection per request or returns the response to another request.
 TEST_CASE("http client reuses its connection and returns each response to its own request") {
     asio::io_context loop;
--- a/tests/scripted_endpoint.h
+++ b/tests/scripted_endpoint.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -21,6 +23,8 @@
         bool reset = false;
         /// Sent again and again after the bytes, until the other side closes or max_endless_bytes are sent.
         std::string endless{};
+        /// Send the bytes in pieces of this size, each in a packet of its own; 0 for all at once.
+        std::size_t piece_bytes = 0;
     };
     static constexpr std::size_t max_endless_bytes = std::size_t{32} * 1024 * 1024;
 
@@ -52,9 +56,7 @@
             if (failure || next >= scripts.size()) co_return;
             received.erase(0, head);
             const auto script = scripts[next++];
-            co_await boost::asio::async_write(
-                socket, boost::asio::buffer(script.bytes),
-                boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+            co_await write_pieces(socket, script, failure);
             const auto piece = repeated(script.endless);
             std::size_t sent = 0;
             while (!piece.empty() && !failure && sent < max_endless_bytes) {
@@ -72,6 +74,23 @@
         }
     }
 
+    static boost::asio::awaitable<void> write_pieces(boost::asio::ip::tcp::socket& socket,
+                                                     const script& script,
+                                                     boost::system::error_code& failure) {
+        socket.set_option(boost::asio::ip::tcp::no_delay(true));
+        const auto size = script.piece_bytes == 0 ? script.bytes.size() : script.piece_bytes;
+        boost::asio::steady_timer pause(socket.get_executor());
+        for (std::size_t at = 0; at < script.bytes.size() && !failure; at += size) {
+            const auto piece = std::string_view(script.bytes).substr(at, size);
+            co_await boost::asio::async_write(
+                socket, boost::asio::buffer(piece.data(), piece.size()),
+                boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+            if (script.piece_bytes == 0) continue;
+            pause.expires_after(std::chrono::milliseconds(1));
+            co_await pause.async_wait(boost::asio::use_awaitable);
+        }
+    }
+
     // A few kilobytes of whole repetitions, so that sending them takes few calls.
     static std::string repeated(const std::string& text) {
         std::string made;
