--- a/tests/system/platform_trouble_test.cpp
+++ b/tests/system/platform_trouble_test.cpp
@@ -93,7 +93,7 @@
     REQUIRE(platform.wait_all_ready());
     for (int version = 2; version <= 12; ++version) {
         CAPTURE(version);
-        platform.vm_process(0).signal(SIGKILL);
+        platform.vm_process(0).kill();
         platform.start_vm(0);
         // Changes fall into every part of the first second.
         const auto change_at = monotonic_now() + time_ms{version - 2} * 100;
@@ -184,7 +184,7 @@
     for (std::size_t vm = 0; vm < 2; ++vm)
         CHECK(platform.vm_process(vm).running());
     // A VM that starts now reads a list with all odd entries.
-    platform.vm_process(0).signal(SIGKILL);
+    platform.vm_process(0).kill();
     platform.start_vm(0);
     REQUIRE(platform.wait_all_ready());
     CHECK(status_with_key(platform, 0, "key") == 200);
