Encode the keys of stored objects in lacewingctl

The store client of the VMs' own interface encodes already.

Evidence: "ctl store access: a key with reserved characters*" fails before ("store answered 400 to PUT config/odd/a%xb") and passes after.

--- a/src/ctl/store_access.cpp
+++ b/src/ctl/store_access.cpp
@@ -1,6 +1,7 @@
 #include "ctl/store_access.h"
 
 #include "ctl/context.h"
+#include "protocol/url.h"
 #include "state/json_text.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,6 +28,14 @@
     return {answer["key"].asString(), {answer["revision"].asUInt64()}, answer["value"]};
 }
 
+std::string object_target(std::string_view key) {
+    return "/v1/objects/" + percent_encode(key);
+}
+
+std::string list_target(std::string_view prefix) {
+    return "/v1/objects?prefix=" + percent_encode(prefix);
+}
+
 [[noreturn]] void throw_unexpected_status(const std::string& what, const http_response& answer) {
     throw store_unreachable(fmt::format("store answered {} to {}", answer.result_int(), what));
 }
@@ -62,7 +71,7 @@
 
 std::optional<stored_object> store_access::get(const std::string& key) {
     try {
-        const auto answer = send("GET", "/v1/objects/" + key, {}, "");
+        const auto answer = send("GET", object_target(key), {}, "");
         if (answer.result_int() == 404) return std::nullopt;
         if (answer.result_int() != 200) throw_unexpected_status("GET " + key, answer);
         return parse_stored_object(parse_json(answer.body(), "answer of the store"));
@@ -73,7 +82,7 @@
 
 std::vector<stored_object> store_access::list(const std::string& prefix) {
     try {
-        const auto answer = send("GET", "/v1/objects?prefix=" + prefix, {}, "");
+        const auto answer = send("GET", list_target(prefix), {}, "");
         if (answer.result_int() != 200) throw_unexpected_status("GET with prefix " + prefix, answer);
         std::vector<stored_object> objects;
         const auto root = parse_json(answer.body(), "answer of the store");
@@ -93,7 +102,7 @@
     for (int attempt = 0; attempt < max_write_attempts; ++attempt) {
         try {
             const auto answer =
-                send("PUT", "/v1/objects/" + key, {{"If-Match", fmt::format("{}", expected.value)}}, body);
+                send("PUT", object_target(key), {{"If-Match", fmt::format("{}", expected.value)}}, body);
             if (answer.result_int() == 200) {
                 return {true, {parse_json(answer.body(), "answer of the store")["revision"].asUInt64()}};
             }
@@ -118,7 +127,7 @@
     for (int attempt = 0; attempt < max_write_attempts; ++attempt) {
         try {
             const auto answer =
-                send("DELETE", "/v1/objects/" + key, {{"If-Match", fmt::format("{}", expected.value)}}, "");
+                send("DELETE", object_target(key), {{"If-Match", fmt::format("{}", expected.value)}}, "");
             const auto status = answer.result_int();
             if (status != 200 && status != 412 && status != 404)
                 throw_unexpected_status("DELETE " + key, answer);
@@ -138,7 +147,7 @@
 
 revision_id store_access::store_revision() {
     try {
-        const auto answer = send("GET", "/v1/objects?prefix=config/", {}, "");
+        const auto answer = send("GET", list_target("config/"), {}, "");
         if (answer.result_int() != 200) throw_unexpected_status("GET with prefix config/", answer);
         return {parse_json(answer.body(), "answer of the store")["revision"].asUInt64()};
     } catch (const http_error& e) {
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -130,3 +130,24 @@
     CHECK(report.in_force == std::vector<std::string>{"vm-1", "vm-4"});
     CHECK(report.cut_off == std::vector<std::string>{"vm-2", "127.0.0.1:1"});
 }
+
+// Such a key named another object, or made a target that the store refuses.
+TEST_CASE("ctl store access: a key with reserved characters names another object") {
+    running_store store({});
+    store_access access(store.address());
+    for (const std::string name : {"a&b", "a#b", "a%xb", "a%41", "a b", "a+b", "a?b", "a=b", "\xC3\xA9"}) {
+        CAPTURE(name);
+        const auto key = "config/odd/" + name;
+        const auto written = access.put(key, object_named(name), {});
+        REQUIRE(written.written);
+        const auto found = access.get(key);
+        REQUIRE(found.has_value());
+        CHECK(found->key == key);
+        CHECK(found->value["name"] == name);
+        const auto listed = access.list(key);
+        REQUIRE(listed.size() == 1);
+        CHECK(listed[0].key == key);
+        CHECK(access.erase(key, written.revision).written);
+        CHECK_FALSE(access.get(key).has_value());
+    }
+}
