--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the trouble out.
 cd "$(dirname "$0")/../.." || exit 2
 program=$PWD/target/lacewingd
-driver=$PWD/out/review-3/driver-$(basename "$(cd review/11 && pwd)")
+driver=$PWD/out/review-3/driver-11
 [ -x "$program" ] && [ -x "$driver" ] || { echo "build the deploy file's command and review/build-3.sh first" >&2; exit 2; }
 folder=$(mktemp -d)
 timeout -k 5 115 "$driver" "$program" "$folder" review/11/record.txt
