Keep of stored objects only what is needed, and read answers object by object

Cause: the mirror parsed each entry into a tree, up to 73 bytes for a byte of text, and kept it whether or not it could be used. Before that, the HTTP client held the whole answer, the page was parsed as a whole, and events were copied. Only the length of one answer was bounded, by 8 MB of text.

A projection checks the element without a tree and writes out the members that the decoder of its kind reads. What the decoder does not accept leaves nothing behind. The copy holds compact text within a part of the VM's memory that its settings give.

The stand-in of the platform bounds its pages by 1 MB as the platform does.

--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/duty_runner.h"
 
 #include "platform/object_codec.h"
+#include "platform/object_filters.h"
 #include "protocol/usage_codec.h"
 #include "state/error_kind.h"
 #include "transport/detached.h"
@@ -53,7 +54,8 @@
                          datagram_sender send)
     : context_(context), store_(store), fleet_(fleet), vm_(settings.vm.value), zone_(settings.zone.value),
       address_(settings.peer_listen), store_timeout_(bounds.duty_term / 2),
-      store_reached_(std::move(store_reached)), send_(std::move(send)),
+      record_filter_(platform::duty_filter()), store_reached_(std::move(store_reached)),
+      send_(std::move(send)),
       duty_(duty_options(settings, bounds, incarnation), monotonic_now(), time_of_day(),
             [this](std::string_view event, std::int64_t window, std::int64_t value) {
                 if (event == "usage_reported" || event == "usage_late") ++reports_accepted_;
@@ -109,7 +111,7 @@
     const std::string kind(platform::duty_kind);
     const std::string name(platform::usage_duty);
     if (action.kind == duty_lease::action::call::read) {
-        const auto result = co_await store_.read(kind, name, store_timeout_);
+        const auto result = co_await store_.read(kind, name, record_filter_, store_timeout_);
         const auto now = monotonic_now();
         const auto* found = std::get_if<std::optional<platform::object_page::entry>>(&result);
         if (found == nullptr) {
@@ -118,8 +120,8 @@
         }
         try {
             std::optional<duty_record> record;
-            if (*found) record = decode_duty_record((*found)->object["spec"]);
-            duty_.lease().on_read(now, std::move(record), *found ? (*found)->revision : 0);
+            if (*found) record = decode_duty_record(platform::to_json(name, (*found)->object)["spec"]);
+            duty_.lease().on_read(now, std::move(record), *found ? (*found)->object.revision : 0);
         } catch (const error& problem) {
             log(log_level::error, "duty_unreadable", {{"duty", name}, {"reason", problem.what()}});
             duty_.lease().on_no_answer(now);
--- a/src/gateway/duty_runner.h
+++ b/src/gateway/duty_runner.h
@@ -54,6 +54,7 @@
     std::string address_;
     // A slow store must not cost the lease: its validity counts from the sending of a call.
     time_ms store_timeout_;
+    platform::object_filter record_filter_;
     std::function<bool(time_ms)> store_reached_;
     datagram_sender send_;
     usage_duty duty_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,8 +1,10 @@
 #include "gateway/gateway.h"
 
+#include "coordination/memory_plan.h"
 #include "gateway/placement_log.h"
 #include "platform/dialect.h"
 #include "platform/object_codec.h"
+#include "platform/object_filters.h"
 #include "protocol/caller_http.h"
 #include "protocol/report_codec.h"
 #include "protocol/usage_codec.h"
@@ -58,12 +60,16 @@
 // which used 400 of 4,100 on the busiest day.
 constexpr double caller_descriptor_share = 0.75;
 
-std::vector<mirrored_kind> mirrored_kinds() {
-    return {{std::string(platform::configuration_kind)},
-            {std::string(platform::endpoint_kind), false, true},
-            {std::string(platform::move_kind)},
-            {std::string(platform::drain_kind)},
-            {std::string(platform::vm_kind), true, true}};
+std::vector<mirrored_kind> mirrored_kinds(const gateway_settings& settings) {
+    std::vector<mirrored_kind> kinds{
+        {std::string(platform::configuration_kind), platform::configuration_filter()},
+        {std::string(platform::endpoint_kind), platform::endpoint_filter(), false, true},
+        {std::string(platform::move_kind), platform::move_filter()},
+        {std::string(platform::drain_kind), platform::drain_filter(settings.zone_regions)},
+        {std::string(platform::vm_kind), platform::vm_filter(), true, true}};
+    for (auto& kind : kinds)
+        kind.filter.max_bytes = memory_plan(settings.memory_mb).stored_kind_bytes();
+    return kinds;
 }
 
 vm_report initial_report(const gateway_settings& settings, std::uint64_t seed) {
@@ -137,7 +143,7 @@
       moves_(bounds_.exposure_share, bounds_.exposure_slack, seed), pool_(context_.get_executor()),
       flow_(deadlines_, pool_, platform::dialect, registry_, selector_, limiter_, repeats_, moves_, seed),
       store_(context_.get_executor(), settings.store),
-      mirror_(context_, store_, mirrored_kinds(), seed,
+      mirror_(context_, store_, mirrored_kinds(settings), seed,
               [this](const mirror_change& change) { apply(change); }),
       callers_(
           context_, deadlines_,
@@ -178,7 +184,7 @@
             });
         flow_.set_usage_counter(&duty_->counter());
     }
-    callers_.memory().set_budget(caller_memory::budget_of(settings.memory_mb));
+    callers_.memory().set_budget(memory_plan(settings.memory_mb).caller_bytes());
     callers_.memory().on_shed = log_shedding;
     callers_.set_patience([](const boost::beast::http::fields& fields) {
         return request_flow::patience(fields, platform::dialect);
@@ -257,7 +263,7 @@
     const auto found = objects.find(std::string(platform::configuration_name));
     if (found == objects.end()) return;
     try {
-        auto made = platform::decode_configuration(found->second["spec"]);
+        auto made = platform::decode_configuration(platform::to_json(found->first, found->second)["spec"]);
         const auto& current = flow_.routes();
         if (current != nullptr && made.version <= current->configuration().version) return;
         limiter_.configure(monotonic_now(), made.accounts);
@@ -266,7 +272,7 @@
             std::make_shared<route_table>(std::make_shared<service_configuration>(std::move(made))));
         log(log_level::info, "configuration_applied",
             {{"version", version},
-             {"revision", found->second["metadata"]["revision"].asUInt64()},
+             {"revision", found->second.revision},
              {"by", source == change_source::store ? "store" : "other_vm"}});
     } catch (const config_error& problem) {
         log(log_level::error, "configuration_rejected",
@@ -283,46 +289,35 @@
             {{"endpoint", id},
              {"kept_ms", change.lapsed_return_by ? (*change.lapsed_return_by - now).count : 0}});
     }
+    for (const auto& id : change.unusable) {
+        registry_.remove(now, id);
+        log(log_level::warn, "endpoint_rejected", {{"endpoint", id}});
+    }
     for (const auto& id : change.changed) {
-        try {
-            const auto made = platform::decode_endpoint(objects.at(id));
-            registry_.put(now, made);
-            log(log_level::info, "endpoint_registered",
-                {{"endpoint", id},
-                 {"service", made.service},
-                 {"zone", made.zone.value},
-                 {"version", made.version},
-                 {"draining", made.draining},
-                 {"warmup_ms", made.warmup_left.count},
-                 {"revision", made.revision}});
-        } catch (const config_error& problem) {
-            registry_.remove(now, id);
-            log(log_level::warn, "endpoint_rejected",
-                {{"endpoint", id}, {"field", problem.field()}, {"reason", problem.reason()}});
-        } catch (const Json::Exception& problem) {
-            registry_.remove(now, id);
-            log(log_level::warn, "endpoint_rejected", {{"endpoint", id}, {"reason", problem.what()}});
-        }
+        const auto made = platform::decode_endpoint(platform::to_json(id, objects.at(id)));
+        registry_.put(now, made);
+        log(log_level::info, "endpoint_registered",
+            {{"endpoint", id},
+             {"service", made.service},
+             {"zone", made.zone.value},
+             {"version", made.version},
+             {"draining", made.draining},
+             {"warmup_ms", made.warmup_left.count},
+             {"revision", made.revision}});
     }
 }
 
 void gateway::apply_moves() {
     std::vector<version_move_order> orders;
-    for (const auto& [name, object] : mirror_.objects(std::string(platform::move_kind))) {
-        try {
-            orders.push_back(platform::decode_move(object));
-        } catch (const std::exception& problem) {
-            log(log_level::warn, "move_rejected", {{"service", name}, {"reason", problem.what()}});
-        }
-    }
+    for (const auto& [name, object] : mirror_.objects(std::string(platform::move_kind)))
+        orders.push_back(platform::decode_move(platform::to_json(name, object)));
     moves_.set_orders(monotonic_now(), orders);
 }
 
 void gateway::apply_drains() {
     std::set<std::string> zones;
     for (const auto& [zone, object] : mirror_.objects(std::string(platform::drain_kind))) {
-        const auto& deleting = object["metadata"]["deleting"];
-        if (!deleting.isBool() || !deleting.asBool()) zones.insert(zone);
+        if (!object.deleting) zones.insert(zone);
     }
     // Endpoints of a zone that is taken back into service are cold for the longest warm-up of any service.
     time_ms warmup{3000};
@@ -340,13 +335,7 @@
 void gateway::apply_registrations() {
     const auto now = monotonic_now();
     for (const auto& [name, object] : mirror_.objects(std::string(platform::vm_kind))) {
-        vm_report made;
-        try {
-            made = platform::decode_vm(object);
-        } catch (const std::exception& problem) {
-            log(log_level::warn, "vm_rejected", {{"vm", name}, {"reason", problem.what()}});
-            continue;
-        }
+        const auto made = platform::decode_vm(platform::to_json(name, object));
         fleet_.on_registration(now, made);
         if (made.vm != settings_.vm && contacted_peers_.insert(made.peer_address).second)
             send_report(made.peer_address);
@@ -438,11 +427,13 @@
 }
 
 asio::awaitable<void> gateway::fetch_snapshot(std::string address, std::string kind) {
-    const auto text = co_await peers_->fetch_snapshot(address, kind);
+    platform::page_reader reader(mirror_.filter(kind), platform::page_reader::content::objects);
+    const bool fetched = co_await peers_->fetch_snapshot(
+        address, kind, [&reader](std::string_view bytes) { reader.feed(bytes); });
     catch_up_.finished(monotonic_now(), kind);
-    if (text.empty()) co_return;
+    if (!fetched) co_return;
     try {
-        if (mirror_.apply_snapshot(kind, text)) {
+        if (mirror_.apply_snapshot(kind, reader)) {
             log(log_level::info, "snapshot_applied",
                 {{"kind", kind},
                  {"from", address},
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -43,6 +43,11 @@
     add("lacewing_request_ms_sum", counted.latency_sum_ms);
     add("lacewing_request_ms_count", cumulative);
     add("lacewing_store_calls_total", store_.calls());
+    add("lacewing_stored_object_bytes", mirror_.bytes());
+    out += fmt::format("lacewing_objects_left_out_total{{cause=\"unusable\"}} {}\n",
+                       mirror_.left_out().unusable);
+    out += fmt::format("lacewing_objects_left_out_total{{cause=\"memory\"}} {}\n",
+                       mirror_.left_out().beyond_memory);
     add("lacewing_peer_bytes_sent_total", peers_->bytes_sent());
     add("lacewing_reports_received_total", reports_received_);
     add("lacewing_outdated_reports_total", outdated_reports_);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "state/error_kind.h"
 #include "transport/detached.h"
-#include "transport/http_client.h"
 #include "transport/ip_address.h"
 #include "transport/log.h"
 
@@ -19,7 +18,8 @@
 // Requests for snapshots have no body.
 constexpr std::uint64_t max_request_body_bytes = std::uint64_t{4} * 1024;
 constexpr std::size_t max_fetching_peers = 256; // connections
-constexpr std::uint64_t max_snapshot_bytes = std::uint64_t{8} * 1024 * 1024;
+// A snapshot is read piece by piece; it is no longer than the objects that a VM keeps of a kind.
+constexpr std::uint64_t max_snapshot_bytes = std::uint64_t{256} * 1024 * 1024;
 
 udp::endpoint datagram_address(const std::string& text) {
     const auto parsed = parse_socket_address(text);
@@ -67,17 +67,18 @@
     if (!failure) bytes_sent_ += text.size();
 }
 
-asio::awaitable<std::string> peer_exchange::fetch_snapshot(std::string address, std::string kind) {
-    http_client client(context_.get_executor(), address, {.max_response_bytes = max_snapshot_bytes});
+asio::awaitable<bool> peer_exchange::fetch_snapshot(std::string address, std::string kind,
+                                                    body_receiver receiver) {
+    http_client client(context_.get_executor(), address, {.max_streamed_bytes = max_snapshot_bytes});
     try {
-        const auto answer =
-            co_await client.request("GET", std::string(snapshot_path) + kind, {}, {}, fetch_timeout);
-        if (answer.result_int() == 200) co_return answer.body();
+        const auto answer = co_await client.request("GET", std::string(snapshot_path) + kind, {}, {},
+                                                    fetch_timeout, std::move(receiver));
+        co_return answer.result_int() == 200;
     } catch (const http_error& problem) {
         log(log_level::info, "peer_snapshot_failed",
             {{"peer", address}, {"kind", kind}, {"reason", problem.what()}});
     }
-    co_return std::string();
+    co_return false;
 }
 
 } // namespace lacewing
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/time_ms.h"
+#include "transport/http_client.h"
 #include "transport/http_server.h"
 
 #include <array>
@@ -34,8 +35,10 @@
     /// full.
     void send_datagram(const std::string& address, std::string_view text);
     /// @brief Fetches a peer's snapshot of one kind of objects.
-    /// @return JSON text; empty when the peer fails or does not answer in time.
-    boost::asio::awaitable<std::string> fetch_snapshot(std::string address, std::string kind);
+    /// @param receiver Gets the JSON text while it arrives.
+    /// @return False when the peer fails or does not answer in time.
+    boost::asio::awaitable<bool> fetch_snapshot(std::string address, std::string kind,
+                                                body_receiver receiver);
 
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
 
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -51,14 +51,19 @@
                            const std::vector<mirrored_kind>& kinds, std::uint64_t seed, listener on_change)
     : context_(context), store_(store), random_(seed), on_change_(std::move(on_change)) {
     for (const auto& kind : kinds) {
-        kinds_[kind.name];
+        auto& made = kinds_[kind.name];
+        made.copy = object_copy(kind.filter.max_bytes);
+        made.filter = kind.filter;
+        made.filter.holds = [&copy = made.copy](const std::string& name) {
+            return copy.objects().contains(name);
+        };
         if (kind.reported_by_vms) relaxed_kinds_.insert(kind.name);
         if (kind.may_lag) lagging_kinds_.insert(kind.name);
     }
 }
 
 void store_mirror::start() {
-    for (const auto& [kind, state] : kinds_)
+    for (const auto& [kind, copied] : kinds_)
         spawn_lasting(context_, "store_mirror", [this, kind = kind] { return list_and_watch(kind); });
 }
 
@@ -81,22 +86,23 @@
 
 asio::awaitable<platform::page_result> store_mirror::fetch(std::string kind, bool must_list) {
     if (must_list) {
-        co_return co_await store_.list(kind, list_timeout);
+        co_return co_await store_.list(kind, filter(kind), list_timeout);
     }
-    co_return co_await store_.watch(kind, kinds_[kind].as_of(), watch_wait(kind), watch_grace,
-                                    may_lag(kind) ? platform::watch_freshness::may_lag
-                                                  : platform::watch_freshness::current);
+    co_return co_await store_.watch(
+        kind, filter(kind), kinds_.at(kind).copy.as_of(), watch_wait(kind), watch_grace,
+        may_lag(kind) ? platform::watch_freshness::may_lag : platform::watch_freshness::current);
 }
 
 // Lists a kind, then watches it; lists it again when the store no longer has the events after the known
 // revision.
 asio::awaitable<void> store_mirror::list_and_watch(std::string kind) {
-    auto& copy = kinds_[kind];
+    auto& copy = kinds_.at(kind).copy;
     bool must_list = true;
     bool failed_before = false;
     bool incomplete_before = false;
     for (;;) {
         const auto asked = monotonic_now();
+        const auto asked_after = copy.as_of();
         auto result = co_await fetch(kind, must_list);
         const auto now = monotonic_now();
         if (const auto* problem = std::get_if<platform::call_failed>(&result)) {
@@ -120,6 +126,7 @@
             continue;
         }
         auto& page = std::get<platform::object_page>(result);
+        note_left_out(kind, page.left_out);
         // A list that the store did not give to its end is used only when a second try ends in the same way.
         if (!page.complete && !std::exchange(incomplete_before, true)) {
             co_await wait_random(min_retry_pause, max_retry_pause);
@@ -142,8 +149,11 @@
                 {{"kind", kind}, {"revision", listed_revision}, {"known", copy.as_of()}});
             co_await wait_random(min_retry_pause, max_retry_pause);
         } else {
-            const bool any_events = !page.entries.empty();
-            auto changes = copy.apply_events(page);
+            // A snapshot that has come meanwhile may hold objects whose changes the page leaves out.
+            if (page.omits_changes && copy.as_of() != asked_after) continue;
+            const bool any_events = !page.entries.empty() || page.omits_changes;
+            auto changes = copy.apply_events(std::move(page));
+            must_list = copy.wants_list();
             if (!any_events) {
                 // A copy that is behind the watched revision may answer at once.
                 if (now - asked < min_watch_wait) {
@@ -151,17 +161,29 @@
                 }
                 continue;
             }
-            publish(kind, std::move(changes), change_source::store);
+            if (changes.any()) publish(kind, std::move(changes), change_source::store);
             co_await wait_random(event_batch_pause, event_batch_pause);
         }
     }
 }
 
 void store_mirror::publish(const std::string& kind, object_changes changes, change_source source) {
-    on_change_({kind, std::move(changes.changed), std::move(changes.removed),
+    on_change_({kind, std::move(changes.changed), std::move(changes.removed), std::move(changes.unusable),
                 lapsed_return_by(monotonic_now()), source});
 }
 
+// Counts and logs the objects of one answer that were not kept, in one line.
+void store_mirror::note_left_out(const std::string& kind, const platform::left_out_objects& left_out) {
+    if (left_out.count() == 0) return;
+    left_out_.add(left_out);
+    log(log_level::warn, "objects_left_out",
+        {{"kind", kind},
+         {"unusable", left_out.unusable},
+         {"beyond_memory", left_out.beyond_memory},
+         {"example", left_out.example},
+         {"reason", left_out.reason}});
+}
+
 void store_mirror::on_success(time_ms now) {
     if (store_lost_) {
         log(log_level::info, "store_regained", {{"after_ms", (now - store_lost_since_).count}});
@@ -183,25 +205,25 @@
     return now < end ? std::optional(end) : std::nullopt;
 }
 
-const std::map<std::string, Json::Value>& store_mirror::objects(const std::string& kind) const {
-    return kinds_.at(kind).objects();
+const object_copy::object_map& store_mirror::objects(const std::string& kind) const {
+    return kinds_.at(kind).copy.objects();
 }
 
 bool store_mirror::partly_known(const std::string& kind) const {
-    return kinds_.at(kind).partly_known();
+    return kinds_.at(kind).copy.partly_known();
 }
 
 std::map<std::string, std::uint64_t> store_mirror::change_revisions() const {
     std::map<std::string, std::uint64_t> revisions;
-    for (const auto& [kind, copy] : kinds_)
-        revisions[kind] = copy.changed_revision();
+    for (const auto& [name, kind] : kinds_)
+        revisions[name] = kind.copy.changed_revision();
     return revisions;
 }
 
 std::optional<std::uint64_t> store_mirror::complete_revision(const std::string& kind) const {
     const auto found = kinds_.find(kind);
     if (found == kinds_.end()) return std::nullopt;
-    return found->second.as_of();
+    return found->second.copy.as_of();
 }
 
 bool store_mirror::is_reachable(time_ms now) const {
@@ -209,11 +231,18 @@
 }
 
 std::string store_mirror::snapshot(const std::string& kind) const {
-    return kinds_.at(kind).snapshot();
+    return kinds_.at(kind).copy.snapshot();
+}
+
+std::size_t store_mirror::bytes() const {
+    std::size_t sum = 0;
+    for (const auto& [name, kind] : kinds_)
+        sum += kind.copy.bytes();
+    return sum;
 }
 
-bool store_mirror::apply_snapshot(const std::string& kind, std::string_view text) {
-    auto changes = kinds_.at(kind).apply_snapshot(text);
+bool store_mirror::apply_snapshot(const std::string& kind, platform::page_reader& reader) {
+    auto changes = kinds_.at(kind).copy.apply_snapshot(reader);
     if (!changes.applied) return false;
     publish(kind, std::move(changes), change_source::other_vm);
     return true;
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -4,8 +4,6 @@
 #include "platform/object_store.h"
 #include "state/time_ms.h"
 
-#include <json/value.h>
-
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -14,7 +12,6 @@
 #include <random>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <boost/asio.hpp>
@@ -29,6 +26,8 @@
     std::string kind;
     std::vector<std::string> changed;
     std::vector<std::string> removed;
+    /// Objects that were replaced by entries that cannot be used.
+    std::vector<std::string> unusable;
     /// Set when the store was unavailable until lately: removed registrations may have lapsed only because
     /// they could not be renewed, and then are back by this time.
     std::optional<time_ms> lapsed_return_by;
@@ -38,6 +37,8 @@
 /// @brief Kind of objects to mirror.
 struct mirrored_kind {
     std::string name;
+    /// What is kept of the objects.
+    platform::object_filter filter;
     /// The reports between VMs carry the same changes, so the store's own may come later.
     bool reported_by_vms = false;
     /// Changes are many, and a second's delay of one harms nobody: the copy of a VM that does not watch for
@@ -68,7 +69,7 @@
     void set_watches_for_region(bool watches) { watches_for_region_ = watches; }
 
     /// @brief Objects of a kind by name.
-    [[nodiscard]] const std::map<std::string, Json::Value>& objects(const std::string& kind) const;
+    [[nodiscard]] const object_copy::object_map& objects(const std::string& kind) const;
     /// @brief Whether a kind has been listed at least in part, or received from another VM, since the start.
     [[nodiscard]] bool partly_known(const std::string& kind) const;
     /// @brief Store revision of the newest known change, by kind.
@@ -81,11 +82,20 @@
 
     /// @brief All objects of a kind for another VM, as JSON text.
     [[nodiscard]] std::string snapshot(const std::string& kind) const;
+    /// @brief What is kept of the objects of a kind.
+    [[nodiscard]] const platform::object_filter& filter(const std::string& kind) const {
+        return kinds_.at(kind).filter;
+    }
     /// @brief Replaces the copy of a kind by another VM's snapshot if that is newer.
-    /// @param text JSON from snapshot().
+    /// @param reader Has read the JSON text from snapshot().
     /// @return Whether the snapshot was applied.
     /// @throws error with error_kind::bad_request for malformed text.
-    bool apply_snapshot(const std::string& kind, std::string_view text);
+    bool apply_snapshot(const std::string& kind, platform::page_reader& reader);
+
+    /// @brief Objects that were not kept, counted each time that they were read.
+    [[nodiscard]] const platform::left_out_objects& left_out() const { return left_out_; }
+    /// @brief Memory in bytes that the objects of all kinds take.
+    [[nodiscard]] std::size_t bytes() const;
 
 private:
     boost::asio::awaitable<void> list_and_watch(std::string kind);
@@ -96,13 +106,19 @@
     }
     [[nodiscard]] boost::asio::awaitable<platform::page_result> fetch(std::string kind, bool must_list);
     void publish(const std::string& kind, object_changes changes, change_source source);
+    void note_left_out(const std::string& kind, const platform::left_out_objects& left_out);
     void on_success(time_ms now);
     void on_failure(time_ms now, const std::string& kind, const std::string& reason);
     [[nodiscard]] std::optional<time_ms> lapsed_return_by(time_ms now) const;
 
     boost::asio::io_context& context_;
     platform::object_store& store_;
-    std::map<std::string, object_copy> kinds_;
+    struct copied_kind {
+        object_copy copy;
+        platform::object_filter filter;
+    };
+    std::map<std::string, copied_kind> kinds_;
+    platform::left_out_objects left_out_;
     std::set<std::string> relaxed_kinds_;
     std::set<std::string> lagging_kinds_;
     std::int64_t live_vms_ = 1;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -39,14 +39,43 @@
 };
 
 using connection_ptr = std::unique_ptr<pooled_connection>;
-using response_parser = http::response_parser<http::string_body>;
+using head_parser = http::response_parser<http::empty_body>;
+using held_parser = http::response_parser<http::string_body>;
+using streamed_parser = http::response_parser<http::buffer_body>;
+
+// Piece of a body that is passed on at once.
+constexpr std::size_t streamed_piece_bytes = std::size_t{32} * 1024;
+
+// Reads the body of a response whose head has been read, and holds it.
+asio::awaitable<http_response> read_held_body(pooled_connection& connection, held_parser& parser,
+                                              error_code& failure) {
+    if (!parser.is_done()) {
+        co_await http::async_read(connection.stream, connection.buffer, parser, await_with_error(failure));
+    }
+    co_return parser.release();
+}
+
+// Reads the body of a response whose head has been read, and passes it on.
+asio::awaitable<http_response> read_streamed_body(pooled_connection& connection, streamed_parser& parser,
+                                                  const body_receiver& receiver, error_code& failure) {
+    std::vector<char> piece(parser.is_done() ? 0 : streamed_piece_bytes);
+    while (!failure && !parser.is_done()) {
+        auto& body = parser.get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        co_await http::async_read(connection.stream, connection.buffer, parser, await_with_error(failure));
+        if (failure == http::error::need_buffer) failure = {};
+        receiver({piece.data(), piece.size() - body.size});
+    }
+    co_return http_response(parser.release().base());
+}
 
 } // namespace
 
 struct http_client::shared_state {
     asio::awaitable<connection_ptr> connect(std::chrono::steady_clock::time_point deadline);
     asio::awaitable<std::optional<http_response>> exchange(connection_ptr connection, http_request& request,
-                                                           bool reused);
+                                                           bool reused, const body_receiver& receiver);
     connection_ptr take_idle();
     [[noreturn]] void throw_failure(http_failure kind, std::string_view action, error_code failure) const;
 
@@ -97,7 +126,8 @@
 // Sends the request and reads the response; nullopt if a reused connection was closed before the first byte
 // of the response.
 asio::awaitable<std::optional<http_response>>
-http_client::shared_state::exchange(connection_ptr connection, http_request& request, bool reused) {
+http_client::shared_state::exchange(connection_ptr connection, http_request& request, bool reused,
+                                    const body_receiver& receiver) {
     if (options.may_send && !options.may_send())
         throw http_error(http_failure::connect_failed, fmt::format("{}: the request was withdrawn", address));
     error_code write_failure;
@@ -107,41 +137,44 @@
         throw_failure(http_failure::timed_out, "sending the request", write_failure);
     }
     // A server may respond and close before it has read the whole body, so read even after a failed write.
-    std::optional<response_parser> read;
+    std::optional<head_parser> head;
     error_code failure;
     for (int interim_answers = 0; interim_answers <= max_interim_answers; ++interim_answers) {
-        read.emplace();
-        read->body_limit(options.max_response_bytes);
-        if (request.method() == http::verb::head) read->skip(true);
+        head.emplace();
+        head->body_limit(receiver ? options.max_streamed_bytes : options.max_response_bytes);
+        if (request.method() == http::verb::head) head->skip(true);
         // The head by itself: when both are parsed together, this version of Beast loses the error of a
         // length over the limit, and allocates that length.
-        co_await http::async_read_header(connection->stream, connection->buffer, *read,
+        co_await http::async_read_header(connection->stream, connection->buffer, *head,
                                          await_with_error(failure));
-        if (!failure && !read->is_done()) {
-            co_await http::async_read(connection->stream, connection->buffer, *read,
-                                      await_with_error(failure));
-        }
-        if (failure || kind_of_status(read->get().result_int()) != status_kind::interim) break;
+        if (failure || kind_of_status(head->get().result_int()) != status_kind::interim) break;
     }
-    if (!failure && kind_of_status(read->get().result_int()) != status_kind::final)
+    if (!failure && kind_of_status(head->get().result_int()) != status_kind::final)
         throw_failure(http_failure::malformed_answer, "reading the response", http::error::bad_status);
-    auto& parser = *read;
+    const bool any_bytes = head->got_some() || connection->buffer.size() > 0;
+    const auto delimiter = delimiter_of(*head);
+    http_response response;
+    if (!failure && receiver) {
+        streamed_parser parser(std::move(*head));
+        response = co_await read_streamed_body(*connection, parser, receiver, failure);
+    } else if (!failure) {
+        held_parser parser(std::move(*head));
+        response = co_await read_held_body(*connection, parser, failure);
+    }
     // What has silenced one connection may have silenced the pooled ones as well.
     if (failure == beast::error::timeout) idle.clear();
     if (failure) {
-        const bool no_response_byte = !parser.got_some() && connection->buffer.size() == 0;
-        if (reused && no_response_byte && failure != beast::error::timeout) co_return std::nullopt;
+        if (reused && !any_bytes && failure != beast::error::timeout) co_return std::nullopt;
         const bool connection_ended =
             failure == http::error::end_of_stream || failure == http::error::partial_message ||
             failure.category() != http::make_error_code(http::error::bad_status).category();
         throw_failure(connection_ended ? http_failure::closed : http_failure::malformed_answer,
                       "reading the response", failure);
     }
-    if (delimiter_of(parser) == answer_delimiter::connection_end &&
+    if (delimiter == answer_delimiter::connection_end &&
         !is_complete_answer(answer_delimiter::connection_end, answer_end::closed,
                             write_failure ? request_progress::unfinished : request_progress::written))
         throw_failure(http_failure::closed, "sending the request", write_failure);
-    http_response response = parser.release();
     if (!write_failure && response.keep_alive() && connection->buffer.size() == 0 &&
         idle.size() < options.max_idle_connections) {
         connection->stream.expires_never();
@@ -164,7 +197,8 @@
 }
 
 asio::awaitable<http_response> http_client::request(std::string method, std::string target,
-                                                    http_headers headers, std::string body, time_ms timeout) {
+                                                    http_headers headers, std::string body, time_ms timeout,
+                                                    body_receiver receiver) {
     const auto state = state_;
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout.count);
     http_request request;
@@ -184,7 +218,7 @@
     if (connection != nullptr) {
         connection->stream.expires_at(deadline);
         std::optional<http_response> response =
-            co_await state->exchange(std::move(connection), request, true);
+            co_await state->exchange(std::move(connection), request, true, receiver);
         if (response) co_return std::move(*response);
         if (!retryable) {
             state->throw_failure(http_failure::closed, "sending on a reused connection",
@@ -192,7 +226,8 @@
         }
     }
     connection = co_await state->connect(deadline);
-    std::optional<http_response> response = co_await state->exchange(std::move(connection), request, false);
+    std::optional<http_response> response =
+        co_await state->exchange(std::move(connection), request, false, receiver);
     co_return std::move(*response);
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -42,11 +42,16 @@
     http_failure failure_;
 };
 
+/// @brief Receives the body of a response piece by piece. The status is known only afterwards.
+using body_receiver = std::function<void(std::string_view bytes)>;
+
 struct http_client_options {
     /// Idle connections to keep for reuse.
     std::size_t max_idle_connections = 8;
-    /// Largest response body in bytes.
+    /// Largest response body that is held, in bytes.
     std::uint64_t max_response_bytes = std::uint64_t{64} * 1024 * 1024;
+    /// Largest response body that is passed on to a receiver, in bytes.
+    std::uint64_t max_streamed_bytes = std::uint64_t{64} * 1024 * 1024;
     /// Asked right before a request is written, after the connect; false fails it as connect_failed.
     std::function<bool()> may_send = {};
 };
@@ -63,9 +68,11 @@
     /// @brief Sends one request and returns the response. A GET is retried once, on a new connection, if a
     /// reused connection was closed before the first byte of the response; nothing else is retried.
     /// @param timeout Time limit for connecting, sending and receiving the complete response.
+    /// @param receiver When set, gets the body while it arrives, and the response that is returned has none.
     /// @throws http_error if there is no complete response; the message names the address and the cause.
     boost::asio::awaitable<http_response> request(std::string method, std::string target,
-                                                  http_headers headers, std::string body, time_ms timeout);
+                                                  http_headers headers, std::string body, time_ms timeout,
+                                                  body_receiver receiver = {});
 
     /// @brief "ip:port" as given to the constructor.
     [[nodiscard]] const std::string& address() const;
--- a/tests/object_copy_test.cpp
+++ b/tests/object_copy_test.cpp
@@ -3,6 +3,7 @@
 #include "state/json_text.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <map>
 #include <random>
@@ -16,11 +17,26 @@
 namespace {
 
 platform::object_page::entry entry(const std::string& name, std::uint64_t revision, bool deleted = false) {
-    Json::Value object;
-    object["metadata"]["name"] = name;
-    object["metadata"]["revision"] = Json::UInt64(revision);
-    object["spec"]["revision"] = Json::UInt64(revision);
-    return *platform::make_entry(object, deleted);
+    platform::object_page::entry made;
+    made.name = name;
+    made.object.revision = revision;
+    made.object.spec = fmt::format(R"({{"revision":{}}})", revision);
+    made.deleted = deleted;
+    return made;
+}
+
+platform::object_filter revision_filter() {
+    platform::object_filter made;
+    made.spec = object_of_scalars({"revision"});
+    return made;
+}
+
+// Gives one copy the snapshot of another as VMs do.
+object_changes apply_snapshot(object_copy& copy, const std::string& text) {
+    const auto filter = revision_filter();
+    platform::page_reader reader(filter, platform::page_reader::content::objects);
+    reader.feed(text);
+    return copy.apply_snapshot(reader);
 }
 
 platform::object_page page(std::uint64_t as_of, std::vector<platform::object_page::entry> entries) {
@@ -44,7 +60,7 @@
     platform::object_page watch_from(std::uint64_t after) {
         auto events = page(revision, {});
         for (const auto& event : history) {
-            if (event.revision > after) events.entries.push_back(event);
+            if (event.object.revision > after) events.entries.push_back(event);
         }
         return events;
     }
@@ -75,7 +91,7 @@
             late_watches.emplace_back(index, watch_from(copy.as_of()));
             break;
         case 1:
-            copy.apply_snapshot(copies[random() % copies.size()].snapshot());
+            apply_snapshot(copy, copies[random() % copies.size()].snapshot());
             break;
         case 2:
             copy.apply_list(list());
@@ -108,7 +124,7 @@
     copy.apply_list(page(10, {entry("old", 5)}));
     object_copy ahead;
     ahead.apply_list(page(20, {entry("old", 5), entry("new", 18)}));
-    CHECK(copy.apply_snapshot(ahead.snapshot()).applied);
+    CHECK(apply_snapshot(copy, ahead.snapshot()).applied);
     const auto late = copy.apply_events(page(15, {entry("left", 12)}));
     CHECK(late.changed.empty());
     CHECK(names(copy) == std::set<std::string>{"new", "old"});
@@ -129,7 +145,7 @@
             copy.apply_events(store.watch_from(copy.as_of()));
             std::map<std::string, std::uint64_t> known;
             for (const auto& [name, object] : copy.objects())
-                known[name] = object["spec"]["revision"].asUInt64();
+                known[name] = platform::to_json(name, object)["spec"]["revision"].asUInt64();
             CHECK(known == store.stored);
         }
     }
@@ -141,7 +157,7 @@
     CHECK_FALSE(copy.apply_list(page(9, {entry("b", 8)})).applied);
     object_copy behind;
     behind.apply_list(page(8, {entry("c", 7)}));
-    CHECK_FALSE(copy.apply_snapshot(behind.snapshot()).applied);
+    CHECK_FALSE(apply_snapshot(copy, behind.snapshot()).applied);
     CHECK(names(copy) == std::set<std::string>{"a"});
 }
 
@@ -165,10 +181,10 @@
     CHECK_FALSE(copy.known());
     CHECK(copy.as_of() == 0);
     object_copy other;
-    CHECK_FALSE(other.apply_snapshot(copy.snapshot()).applied);
+    CHECK_FALSE(apply_snapshot(other, copy.snapshot()).applied);
     // Another VM's complete copy is taken even though it is older.
     other.apply_list(page(25, {entry("a", 9), entry("b", 8), entry("c", 20), entry("d", 7)}));
-    CHECK(copy.apply_snapshot(other.snapshot()).applied);
+    CHECK(apply_snapshot(copy, other.snapshot()).applied);
     CHECK(names(copy) == std::set<std::string>{"a", "b", "c", "d"});
     CHECK(copy.known());
     const auto changes = copy.apply_list(part);
@@ -191,6 +207,6 @@
          {"", "[]", "{}", R"({"as_of":20,"known":true})", R"({"as_of":-1,"known":true,"items":[]})",
           R"({"as_of":20,"known":true,"items":[7]})",
           R"({"as_of":20,"known":true,"items":[{"metadata":{}}]})"})
-        CHECK_THROWS_AS(copy.apply_snapshot(text), error);
+        CHECK_THROWS_AS(apply_snapshot(copy, text), error);
     CHECK(names(copy) == std::set<std::string>{"a"});
 }
--- a/tests/object_store_test.cpp
+++ b/tests/object_store_test.cpp
@@ -62,7 +62,7 @@
     platform::page_result list() {
         platform::page_result result;
         run_until_done(context, [&]() -> asio::awaitable<void> {
-            result = co_await client.list("servers", call_timeout);
+            result = co_await client.list("servers", filter, call_timeout);
         }());
         return result;
     }
@@ -88,6 +88,7 @@
 
     asio::io_context context;
     std::map<std::string, std::string> objects;
+    platform::object_filter filter;
     std::size_t page_size = 3;
     /// Name after which no list is continued.
     std::string refused_name = "none";
@@ -142,7 +143,7 @@
         paged_store store;
         store.put(name);
         run_until_done(store.context, [&]() -> asio::awaitable<void> {
-            const auto found = co_await store.client.read("servers", name, call_timeout);
+            const auto found = co_await store.client.read("servers", name, store.filter, call_timeout);
             const auto* object = std::get_if<std::optional<platform::object_page::entry>>(&found);
             CHECK((object != nullptr && object->has_value() && (*object)->name == name));
             co_await store.client.replace("servers", name, {}, call_timeout);
@@ -212,7 +213,7 @@
         store.watch_answer = answer;
         platform::page_result result;
         run_until_done(store.context, [&]() -> asio::awaitable<void> {
-            result = co_await store.client.watch("servers", 1, time_ms{100}, call_timeout,
+            result = co_await store.client.watch("servers", store.filter, 1, time_ms{100}, call_timeout,
                                                  platform::watch_freshness::current);
         }());
         const auto* lost = std::get_if<platform::history_lost>(&result);
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -157,6 +157,7 @@
 }
 
 std::string platform_stand_in::with_raw_specs(std::string text) const {
+    if (text.find("{\"raw\":\"raw ") == std::string::npos) return text;
     for (const auto& [placeholder, spec] : raw_specs_) {
         const auto member = "{\"raw\":" + placeholder + "}";
         for (auto at = text.find(member); at != std::string::npos; at = text.find(member, at + spec.size()))
@@ -194,15 +195,18 @@
 
 http_response platform_stand_in::list_objects(const std::string& kind, const std::string& after) {
     const std::lock_guard lock(mutex_);
-    Json::Value body;
-    body["items"] = Json::arrayValue;
+    ++listed_pages;
     const auto& objects = objects_[kind];
     auto object = objects.upper_bound(after);
-    for (; object != objects.end() && body["items"].size() < page_objects; ++object)
-        body["items"].append(object->second);
-    body["hasMore"] = object != objects.end();
-    body["asOf"] = Json::UInt64(revision_);
-    return make_response(200, with_raw_specs(json_text(body)));
+    std::string items;
+    for (std::size_t count = 0; object != objects.end() && count < page_objects; ++object, ++count) {
+        const auto text = with_raw_specs(json_text(object->second));
+        if (count > 0 && items.size() + text.size() > page_bytes) break;
+        if (count > 0) items += ',';
+        items += text;
+    }
+    return make_response(200, fmt::format(R"({{"items":[{}],"hasMore":{},"asOf":{}}})", items,
+                                          object != objects.end(), revision_));
 }
 
 http_response platform_stand_in::read_object(const std::string& kind, const std::string& name) {
@@ -308,6 +312,11 @@
             service, address, version));
 }
 
+std::string platform_stand_in::endpoint_address(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return objects_["servers"][id]["spec"]["address"].asString();
+}
+
 int platform_stand_in::execution_count(const std::string& id) {
     const std::lock_guard lock(mutex_);
     return execution_counts_[id];
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -53,6 +53,10 @@
     [[nodiscard]] std::string version_move_state(const std::string& service);
     /// @brief Most objects in one page of a list.
     std::atomic<std::size_t> page_objects{500};
+    /// @brief Most bytes of objects in one page, except for a page with one object.
+    std::atomic<std::size_t> page_bytes{1'000'000};
+    /// @brief Number of pages of lists that the store has given.
+    std::atomic<int> listed_pages{0};
     /// @brief While set, the store closes connections without an answer.
     std::atomic<bool> store_down{false};
 
@@ -75,6 +79,8 @@
     /// @param address "ip:port".
     void register_endpoint(const std::string& id, const std::string& service, const std::string& address,
                            const std::string& version = "v1");
+    /// @brief Address of an endpoint that was added.
+    [[nodiscard]] std::string endpoint_address(const std::string& id);
     /// @brief IPv4 address of the VMs and of the store.
     [[nodiscard]] const std::string& host() const { return host_; }
     /// @brief Number of requests that an endpoint has executed or begun to execute.
