Serve with the part of a long list that has been read

Cause: a VM that starts is ready once its list of endpoints is complete. Small entries of another writer make the list as long as they are many, one call a page: when all VMs start, none serves until the last page.

Change: while a kind is not known as a whole, what has been read of its list is used every 3 s, as an incomplete list.

--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -33,6 +33,9 @@
 // Pause before a list is tried again that the store did not give to its end.
 constexpr time_ms min_incomplete_list_pause{800};
 constexpr time_ms max_incomplete_list_pause{1200};
+// A VM that knows nothing of a kind uses what it has read of a long list at this interval. Another VM that
+// knows the whole kind is asked before the first time.
+constexpr time_ms part_interval{3000};
 // Endpoint events come in bursts; this pause after a page of events lets the next watch return several at
 // once.
 constexpr time_ms event_batch_pause{200};
@@ -86,7 +89,9 @@
 
 asio::awaitable<platform::page_result> store_mirror::fetch(std::string kind, bool must_list) {
     if (must_list) {
-        co_return co_await store_.list(kind, filter(kind), list_timeout);
+        time_ms next_use = monotonic_now() + part_interval;
+        const auto on_part = [&](const platform::object_page& part) { use_part(kind, part, next_use); };
+        co_return co_await store_.list(kind, filter(kind), list_timeout, on_part);
     }
     co_return co_await store_.watch(
         kind, filter(kind), kinds_.at(kind).copy.as_of(), watch_wait(kind), watch_grace,
@@ -167,6 +172,17 @@
     }
 }
 
+// Uses what has been read of a list while the kind is not known as a whole.
+void store_mirror::use_part(const std::string& kind, const platform::object_page& part, time_ms& next_use) {
+    auto& copy = kinds_.at(kind).copy;
+    const auto now = monotonic_now();
+    if (copy.known() || part.entries.empty() || now < next_use) return;
+    next_use = now + part_interval;
+    log(log_level::info, "store_list_part_used", {{"kind", kind}, {"objects", part.entries.size()}});
+    auto changes = copy.apply_list(part);
+    if (changes.any()) publish(kind, std::move(changes), change_source::store);
+}
+
 void store_mirror::publish(const std::string& kind, object_changes changes, change_source source) {
     on_change_({kind, std::move(changes.changed), std::move(changes.removed), std::move(changes.unusable),
                 lapsed_return_by(monotonic_now()), source});
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -106,6 +106,7 @@
     }
     [[nodiscard]] boost::asio::awaitable<platform::page_result> fetch(std::string kind, bool must_list);
     void publish(const std::string& kind, object_changes changes, change_source source);
+    void use_part(const std::string& kind, const platform::object_page& part, time_ms& next_use);
     void note_left_out(const std::string& kind, const platform::left_out_objects& left_out);
     void on_success(time_ms now);
     void on_failure(time_ms now, const std::string& kind, const std::string& reason);
--- a/tests/system/foreign_objects_test.cpp
+++ b/tests/system/foreign_objects_test.cpp
@@ -243,3 +243,22 @@
     REQUIRE(wait_until([&] { return status_of_call(platform, 0) == 200; }, time_ms{60'000}));
     check_memory(platform, 0);
 }
+
+// All VMs start, so that none can tell the others what it knows.
+TEST_CASE("foreign objects: a list of many pages keeps VMs that start from what they have read of it") {
+    constexpr int entries = 100;
+    platform_stand_in platform(2);
+    start_sound_system(platform);
+    platform.page_objects = 1;
+    for (int i = 0; i < entries; ++i)
+        platform.put_object("servers", fmt::format("foreign-{}", i), "{}");
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        platform.vm_process(vm).kill();
+    platform.page_ms = 300;
+    platform.listed_pages = 0;
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        platform.start_vm(vm);
+    REQUIRE(wait_until([&] { return status_of_call(platform, 0) == 200; }, time_ms{60'000}));
+    REQUIRE(wait_until([&] { return status_of_call(platform, 1) == 200; }, time_ms{60'000}));
+    CHECK(platform.listed_pages < entries);
+}
--- a/tests/system/platform_stand_in.cpp
+++ b/tests/system/platform_stand_in.cpp
@@ -252,7 +252,12 @@
     };
     if (request.method() == boost::beast::http::verb::get) {
         if (!name.empty()) co_return read_object(kind, name);
-        if (parameter("watch").empty()) co_return list_objects(kind, parameter("after"));
+        if (parameter("watch").empty()) {
+            if (kind == "servers" && page_ms > 0) {
+                co_await pause(context_.get_executor(), page_ms);
+            }
+            co_return list_objects(kind, parameter("after"));
+        }
         const auto after_revision = std::stoull(parameter("watch"));
         const auto wait_ms = std::stoi(parameter("waitMs"));
         for (int waited_ms = 0; waited_ms < wait_ms && !store_down; waited_ms += 10) {
--- a/tests/system/platform_stand_in.h
+++ b/tests/system/platform_stand_in.h
@@ -55,6 +55,8 @@
     std::atomic<std::size_t> page_objects{500};
     /// @brief Most bytes of objects in one page, except for a page with one object.
     std::atomic<std::size_t> page_bytes{1'000'000};
+    /// @brief Time in ms that the store takes for one page of a list of endpoints.
+    std::atomic<int> page_ms{0};
     /// @brief Number of pages of lists that the store has given.
     std::atomic<int> listed_pages{0};
     /// @brief While set, the store closes connections without an answer.
