--- a/src/gateway/endpoint_attempt.cpp
+++ b/src/gateway/endpoint_attempt.cpp
@@ -259,8 +259,9 @@
                 }
                 id_matches = error_without_id || echoed == message.attempt_id;
             }
-            if (head_checked && id_matches && !interim &&
-                parser.get().body().size() > max_buffered_answer_bytes && !result.streamed) {
+            buffered_.set(parser.get().body().capacity());
+            if (head_checked && id_matches && !interim && !memory_.may_buffer(parser.get().body().size()) &&
+                !result.streamed) {
                 endpoint_answer answer;
                 answer.status = parser.get().result_int();
                 answer.fields = parser.get().base();
@@ -289,7 +290,8 @@
                     co_return;
                 }
                 result.streamed_bytes += parser.get().body().size();
-                parser.get().body().clear();
+                // What was buffered before the answer was streamed is given back.
+                parser.get().body() = std::string();
             }
             if (parser.is_done()) break;
             if (buffer.size() > 0 && !failure) continue;
--- a/src/gateway/endpoint_attempt.h
+++ b/src/gateway/endpoint_attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/answer_memory.h"
 #include "coordination/endpoint_selector.h"
 #include "gateway/deadline_queue.h"
 #include "protocol/answer_end.h"
@@ -86,18 +87,20 @@
 public:
     /// Largest answer that is buffered whole, so that an incomplete one can be replaced by an error or a
     /// retry. Longer answers are streamed.
-    static constexpr std::size_t max_buffered_answer_bytes = std::size_t{256} * 1024;
+    static constexpr std::size_t max_buffered_answer_bytes = answer_memory::max_answer_bytes;
     /// A connect takes one network round trip; an endpoint that does not accept within this time counts as
     /// unreachable.
     static constexpr time_ms connect_timeout{400};
 
-    endpoint_attempt(endpoint_connection_pool& pool, deadline_queue& deadlines, const caller_dialect& dialect)
-        : pool_(pool), deadlines_(deadlines), dialect_(dialect) {}
+    endpoint_attempt(endpoint_connection_pool& pool, deadline_queue& deadlines, const caller_dialect& dialect,
+                     answer_memory& memory)
+        : pool_(pool), deadlines_(deadlines), dialect_(dialect), buffered_(memory), memory_(memory) {}
 
     /// @brief Sends the request and reads its answer. A standard exception, whoever throws it, ends the
     /// attempt with the outcome `broken`.
     /// @param address ip:port of the endpoint.
-    /// @param sink Receives an answer of more than max_buffered_answer_bytes.
+    /// @param sink Receives an answer of more than max_buffered_answer_bytes, or of less when the answers
+    /// take too much memory.
     boost::asio::awaitable<endpoint_result> run(std::string address, attempt_message message,
                                                 answer_sink sink);
 
@@ -125,6 +128,8 @@
     endpoint_connection_pool& pool_;
     deadline_queue& deadlines_;
     const caller_dialect& dialect_;
+    answer_memory::holding buffered_;
+    const answer_memory& memory_;
     std::shared_ptr<endpoint_connection> connection_;
     std::shared_ptr<request_write> request_write_;
     std::optional<time_ms> connect_duration_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -186,6 +186,7 @@
     }
     callers_.memory().set_budget(memory_plan(settings.memory_mb).caller_bytes());
     callers_.memory().on_shed = log_shedding;
+    flow_.buffered_answers().set_budget(memory_plan(settings.memory_mb).answer_bytes());
     callers_.set_patience([](const boost::beast::http::fields& fields) {
         return request_flow::patience(fields, platform::dialect);
     });
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -43,6 +43,7 @@
     add("lacewing_request_ms_sum", counted.latency_sum_ms);
     add("lacewing_request_ms_count", cumulative);
     add("lacewing_store_calls_total", store_.calls());
+    add("lacewing_buffered_answer_bytes", flow_.buffered_answers().held());
     add("lacewing_stored_object_bytes", mirror_.bytes());
     out += fmt::format("lacewing_objects_left_out_total{{cause=\"unusable\"}} {}\n",
                        mirror_.left_out().unusable);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view snapshot_path = "/snapshot/";
 // A peer in another region answers in about 120 ms.
 constexpr time_ms fetch_timeout{800};
+// Nobody waits longer for a snapshot, so its text is given up.
+constexpr time_ms send_timeout{2 * fetch_timeout.count};
 // Requests for snapshots have no body.
 constexpr std::uint64_t max_request_body_bytes = std::uint64_t{4} * 1024;
 constexpr std::size_t max_fetching_peers = 256; // connections
@@ -43,6 +45,7 @@
     http_limits limits;
     limits.body_bytes = max_request_body_bytes;
     limits.connections = max_fetching_peers;
+    limits.write_timeout = send_timeout;
     server_ = std::make_unique<http_server>(context.get_executor(), address, limits, answer);
     spawn_lasting(context_, "receive_reports", [this] { return receive(); });
 }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -413,7 +413,7 @@
                                         return sink.begin(answer, length);
                                     },
                                     sink.write};
-    endpoint_attempt current_attempt(pool_, deadlines_, dialect_);
+    endpoint_attempt current_attempt(pool_, deadlines_, dialect_, buffered_answers_);
     endpoint_result result;
     bool overdue = false;
     {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "coordination/account_limiter.h"
+#include "coordination/answer_memory.h"
 #include "coordination/answer_size_estimator.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_selector.h"
+#include "coordination/memory_plan.h"
 #include "coordination/repeat_budget.h"
 #include "coordination/route_table.h"
 #include "coordination/send_ledger.h"
@@ -60,6 +62,9 @@
 /// and answers.
 class request_flow {
 public:
+    /// Memory of a VM whose settings name none, in MB.
+    static constexpr std::int64_t default_memory_mb = 512;
+
     request_flow(deadline_queue& deadlines, endpoint_connection_pool& pool, const caller_dialect& dialect,
                  endpoint_registry& registry, endpoint_selector& selector, account_limiter& limiter,
                  repeat_budget& repeats, version_mover& moves, std::uint64_t seed);
@@ -85,6 +90,9 @@
     static time_ms patience(const boost::beast::http::fields& fields, const caller_dialect& dialect);
 
     [[nodiscard]] const request_counters& counters() const { return counters_; }
+    /// @brief Account of the answers that are buffered.
+    [[nodiscard]] answer_memory& buffered_answers() { return buffered_answers_; }
+    [[nodiscard]] const answer_memory& buffered_answers() const { return buffered_answers_; }
 
 private:
     /// State of one request while it is processed.
@@ -163,6 +171,7 @@
     endpoint_selector& selector_;
     account_limiter& limiter_;
     repeat_budget& repeats_;
+    answer_memory buffered_answers_{memory_plan(default_memory_mb).answer_bytes()};
     version_mover& moves_;
     // Null when nobody asks for the counts.
     usage_counter* usage_ = nullptr;
--- a/tests/endpoint_attempt_test.cpp
+++ b/tests/endpoint_attempt_test.cpp
@@ -51,7 +51,7 @@
             streamed += piece;
             co_return streamed.size() < max_streamed_bytes;
         };
-        endpoint_attempt attempt(pool, deadlines, platform::dialect);
+        endpoint_attempt attempt(pool, deadlines, platform::dialect, memory);
         endpoint_result result;
         bool done = false;
         const scoped_deadline limit(deadlines, monotonic_now() + patience, [&] { attempt.expire(); });
@@ -73,6 +73,7 @@
 
     asio::io_context context;
     deadline_queue deadlines;
+    answer_memory memory{std::size_t{64} * 1024 * 1024};
     endpoint_connection_pool pool;
     scripted_endpoint endpoint;
     time_ms patience{300};
@@ -598,3 +599,22 @@
         CHECK(next.answer->body == "next");
     }
 }
+
+// Endpoints that stop within long answers take as much memory as there are requests.
+TEST_CASE("endpoint attempt: answers are buffered without regard to what others hold") {
+    constexpr auto small = answer_memory::small_answer_bytes;
+    const std::string body(4 * small, 'x');
+    attempt_fixture fixture({{answer(body)}, {answer(body)}, {answer(std::string(small / 2, 'y'))}});
+    CHECK_FALSE(fixture.run().streamed);
+    CHECK(fixture.memory.held() == 0);
+    // The answers of others take the whole budget.
+    answer_memory::holding others(fixture.memory);
+    others.set(fixture.memory.held() + std::size_t{64} * 1024 * 1024 + 1);
+    const auto held_by_others = fixture.memory.held();
+    const auto streamed = fixture.run();
+    CHECK(streamed.outcome == attempt_end::answered);
+    CHECK(streamed.stream_complete);
+    CHECK(fixture.streamed == body);
+    CHECK_FALSE(fixture.run().streamed);
+    CHECK(fixture.memory.held() == held_by_others);
+}
--- a/tests/late_request_test.cpp
+++ b/tests/late_request_test.cpp
@@ -60,7 +60,7 @@
     sender() : pool(context.get_executor()) {}
 
     void start_attempt(const std::string& address) {
-        attempt.emplace(pool, deadlines, platform::dialect);
+        attempt.emplace(pool, deadlines, platform::dialect, memory);
         attempt_message message;
         message.head = fmt::format("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", body_bytes);
         message.body = std::make_shared<const std::string>(body_bytes, 'b');
@@ -82,6 +82,7 @@
 
     asio::io_context context;
     deadline_queue deadlines;
+    answer_memory memory{std::size_t{1024} * 1024};
     endpoint_connection_pool pool;
     std::optional<endpoint_attempt> attempt;
     endpoint_result result;
--- a/tests/system/endless_bytes_test.cpp
+++ b/tests/system/endless_bytes_test.cpp
@@ -285,6 +285,39 @@
     CHECK(peak_kb < smallest_vm_kb);
 }
 
+// Each answer stays below the length from which on it is passed on while it arrives.
+TEST_CASE("endless bytes: endpoints that stop within long answers take the memory of a VM") {
+    constexpr std::size_t endpoint_count = 100;
+    // All slots of the endpoints.
+    constexpr std::size_t caller_count = 8 * endpoint_count;
+    allow_many_files();
+    platform_stand_in platform(1, time_ms{6'000}, {.memory_mb = 160});
+    platform.put_object("config", "main", platform_stand_in::configuration(1, "secret", 0, time_ms{20'000}));
+    unreliable_endpoints faulty(platform.host(), 1, {.conducts = {endpoint_conduct::stops_in_answer}});
+    for (std::size_t i = 0; i < endpoint_count; ++i) {
+        const auto id = fmt::format("faulty-{}", i);
+        platform.register_endpoint(id, "s", faulty.open(id));
+    }
+    REQUIRE(platform.wait_all_ready());
+    const auto before_kb = platform.vm_process(0).status_kb("VmHWM");
+    std::vector<raw_connection> callers;
+    callers.reserve(caller_count);
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        auto headers = caller_headers(fmt::format("stopped-{}", i));
+        headers[1].second = "15000";
+        callers.emplace_back(platform.caller_address(0));
+        REQUIRE(callers.back().send(request_text("GET", "/pay/x", headers)));
+    }
+    // Most of the answers are there; the others were refused.
+    CHECK(wait_until([&] { return faulty.runs().size() > caller_count / 2; }));
+    const auto until = monotonic_now() + time_ms{1'500};
+    wait_until([&] { return monotonic_now() >= until; });
+    REQUIRE(platform.vm_process(0).running());
+    const auto peak_kb = platform.vm_process(0).status_kb("VmHWM");
+    MESSAGE("peak ", before_kb, " kB before, ", peak_kb, " kB with ", faulty.runs().size(), " answers");
+    CHECK(peak_kb < smallest_vm_kb);
+}
+
 TEST_CASE("endless bytes: endpoints of the own interface take the memory of a VM") {
     deployment system(deployment_options{});
     for (const auto* fault :
--- a/tests/system/unreliable_endpoints.cpp
+++ b/tests/system/unreliable_endpoints.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::size_t max_head_bytes = std::size_t{16} * 1024;
 constexpr std::uint64_t slow_service_ms = 1'200;
+// Shorter than an answer that a VM passes on while it arrives.
+constexpr std::size_t long_body_bytes = std::size_t{250} * 1024;
 
 auto completion(error_code& failure) {
     return asio::redirect_error(asio::use_awaitable, failure);
@@ -268,6 +270,14 @@
     if (conduct == endpoint_conduct::sends_endless_bytes) {
         co_return co_await write_endless_bytes(connection, id, draw(subject, "kind"));
     }
+    if (conduct == endpoint_conduct::stops_in_answer) {
+        const auto whole = answer_text(200, id, false, std::string(long_body_bytes, 'x'));
+        if (!co_await write(connection, std::string_view(whole).substr(0, whole.size() - 1))) co_return false;
+        char byte = 0;
+        error_code failure;
+        co_await connection.async_read_some(asio::buffer(&byte, 1), completion(failure));
+        co_return false;
+    }
     const auto body = fmt::format(R"({{"request":"{}"}})", id);
     const auto answer = answer_text(200, id, false, body);
     switch (conduct) {
--- a/tests/system/unreliable_endpoints.h
+++ b/tests/system/unreliable_endpoints.h
@@ -37,6 +37,8 @@
     is_slow,
     /// Runs it and sends bytes that are no answer, without end, until the caller closes.
     sends_endless_bytes,
+    /// Runs it and stops within a long answer, until the caller closes.
+    stops_in_answer,
 };
 
 /// @brief How endpoints behave; shares are between 0 and 1.
