--- a/tests/object_copy_test.cpp
+++ b/tests/object_copy_test.cpp
@@ -210,3 +210,62 @@
         CHECK_THROWS_AS(apply_snapshot(copy, text), error);
     CHECK(names(copy) == std::set<std::string>{"a"});
 }
+
+TEST_CASE("object copy: an object that can no longer be used stays, or looks like one that was deleted") {
+    auto unusable = entry("a", 12);
+    unusable.usable = false;
+    object_copy listed;
+    listed.apply_list(page(10, {entry("a", 9), entry("b", 8)}));
+    const auto from_list = listed.apply_list(page(13, {unusable, entry("b", 8)}));
+    CHECK(from_list.unusable == std::vector<std::string>{"a"});
+    CHECK(from_list.removed.empty());
+    CHECK(from_list.changed.empty());
+    CHECK(listed.changed_revision() == 13);
+    object_copy watched;
+    watched.apply_list(page(10, {entry("a", 9), entry("b", 8)}));
+    CHECK(watched.apply_events(page(13, {unusable})).unusable == std::vector<std::string>{"a"});
+    CHECK(names(watched) == std::set<std::string>{"b"});
+    // A change that concerns no object that is held is none for the other VMs.
+    CHECK_FALSE(watched.apply_events(page(15, {})).any());
+    CHECK(watched.changed_revision() == 13);
+    CHECK(watched.as_of() == 15);
+    watched.apply_events(page(16, {entry("a", 16)}));
+    CHECK(names(watched) == std::set<std::string>{"a", "b"});
+}
+
+TEST_CASE("object copy: objects beyond its memory are held, or stay away when there is room") {
+    const auto one = entry("a", 9).object.bytes("a");
+    object_copy copy(2 * one + one / 2);
+    CHECK(copy.apply_list(page(10, {entry("a", 9), entry("b", 8), entry("c", 7)})).changed.size() == 2);
+    CHECK(names(copy) == std::set<std::string>{"a", "b"});
+    CHECK(copy.bytes() <= 2 * one + one / 2);
+    CHECK(copy.apply_events(page(11, {entry("d", 11)})).changed.empty());
+    // A change of an object that is held needs no more memory.
+    CHECK(copy.apply_events(page(12, {entry("a", 12)})).changed.size() == 1);
+    CHECK(copy.apply_events(page(13, {entry("a", 13, true), entry("b", 13, true)})).removed.size() == 2);
+    CHECK(copy.wants_list());
+    copy.apply_list(page(14, {entry("c", 7), entry("d", 11)}));
+    CHECK(names(copy) == std::set<std::string>{"c", "d"});
+    CHECK_FALSE(copy.wants_list());
+}
+
+TEST_CASE("object copy: random lists, events and snapshots take more memory than permitted") {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        CAPTURE(seed);
+        store_with_copies store(seed);
+        const auto limit = 3 * entry("a", 1).object.bytes("a");
+        for (auto& copy : store.copies)
+            copy = object_copy(limit);
+        for (int step = 0; step < 200; ++step) {
+            store.change_any_object();
+            store.update_any_copy();
+            for (const auto& copy : store.copies) {
+                std::size_t sum = 0;
+                for (const auto& [name, object] : copy.objects())
+                    sum += object.bytes(name);
+                CHECK(sum == copy.bytes());
+                CHECK(sum <= limit);
+            }
+        }
+    }
+}
