Stop reading an answer of the store as soon as it is none, and hold only errors

Change: the receiver says whether the bytes can be used; the call then ends as malformed. Bodies of refusals are held within the usual limit.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -430,7 +430,7 @@
 asio::awaitable<void> gateway::fetch_snapshot(std::string address, std::string kind) {
     platform::page_reader reader(mirror_.filter(kind), platform::page_reader::content::objects);
     const bool fetched = co_await peers_->fetch_snapshot(
-        address, kind, [&reader](std::string_view bytes) { reader.feed(bytes); });
+        address, kind, [&reader](std::string_view bytes) { return reader.feed(bytes); });
     catch_up_.finished(monotonic_now(), kind);
     if (!fetched) co_return;
     try {
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -258,8 +258,10 @@
 }
 
 bool store_mirror::apply_snapshot(const std::string& kind, platform::page_reader& reader) {
+    const auto left_out = reader.left_out();
     auto changes = kinds_.at(kind).copy.apply_snapshot(reader);
     if (!changes.applied) return false;
+    note_left_out(kind, left_out);
     publish(kind, std::move(changes), change_source::other_vm);
     return true;
 }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -65,7 +65,8 @@
         body.size = piece.size();
         co_await http::async_read(connection.stream, connection.buffer, parser, await_with_error(failure));
         if (failure == http::error::need_buffer) failure = {};
-        receiver({piece.data(), piece.size() - body.size});
+        const bool usable = receiver({piece.data(), piece.size() - body.size});
+        if (!failure && !usable) failure = http::error::bad_value;
     }
     co_return http_response(parser.release().base());
 }
@@ -154,10 +155,14 @@
     const bool any_bytes = head->got_some() || connection->buffer.size() > 0;
     const auto delimiter = delimiter_of(*head);
     http_response response;
-    if (!failure && receiver) {
+    const bool streams = receiver && head->get().result_int() / 100 == 2;
+    if (!failure && !streams && head->content_length().value_or(0) > options.max_response_bytes)
+        failure = http::error::body_limit;
+    if (!failure && streams) {
         streamed_parser parser(std::move(*head));
         response = co_await read_streamed_body(*connection, parser, receiver, failure);
     } else if (!failure) {
+        head->body_limit(options.max_response_bytes);
         held_parser parser(std::move(*head));
         response = co_await read_held_body(*connection, parser, failure);
     }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -42,8 +42,10 @@
     http_failure failure_;
 };
 
-/// @brief Receives the body of a response piece by piece. The status is known only afterwards.
-using body_receiver = std::function<void(std::string_view bytes)>;
+/// @brief Receives the body of a successful response (2xx) piece by piece.
+///
+/// Returns false for bytes that cannot be used; the request then fails with http_failure::malformed_answer.
+using body_receiver = std::function<bool(std::string_view bytes)>;
 
 struct http_client_options {
     /// Idle connections to keep for reuse.
@@ -68,7 +70,8 @@
     /// @brief Sends one request and returns the response. A GET is retried once, on a new connection, if a
     /// reused connection was closed before the first byte of the response; nothing else is retried.
     /// @param timeout Time limit for connecting, sending and receiving the complete response.
-    /// @param receiver When set, gets the body while it arrives, and the response that is returned has none.
+    /// @param receiver When set, gets the body of a successful response while it arrives; the response that
+    /// is returned has none.
     /// @throws http_error if there is no complete response; the message names the address and the cause.
     boost::asio::awaitable<http_response> request(std::string method, std::string target,
                                                   http_headers headers, std::string body, time_ms timeout,
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -124,6 +124,62 @@
     }
 }
 
+// The body is read by another way than that of a response that is held.
+TEST_CASE("http client: a body that is passed on while it arrives is cut, or is held as well") {
+    const std::string body(100'000, 'b');
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    struct example {
+        std::string bytes;
+        std::string received;
+        std::string held;
+        std::optional<http_failure> failure{};
+    };
+    const std::vector<example> rows{
+        {head + "Content-Length: 100000\r\n\r\n" + body, body, ""},
+        {head + "Content-Length: 0\r\n\r\n", "", ""},
+        {"HTTP/1.1 204 No Content\r\n\r\n", "", ""},
+        {head + "Transfer-Encoding: chunked\r\n\r\n186A0\r\n" + body + "\r\n3\r\nend\r\n0\r\n\r\n",
+         body + "end", ""},
+        {"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "ok", ""},
+        {"HTTP/1.1 410 Gone\r\nContent-Length: 4\r\n\r\ngone", "", "gone"},
+        {"HTTP/1.1 410 Gone\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'g'), "", "",
+         http_failure::malformed_answer},
+        {head + "Content-Length: 200001\r\n\r\n" + body, "", "", http_failure::malformed_answer},
+        {head + "Transfer-Encoding: chunked\r\n\r\n30D41\r\n" + body + body + "x\r\n0\r\n\r\n", "", "",
+         http_failure::malformed_answer},
+        {head + "Content-Length: 3\r\n\r\nno!", "no!", "", http_failure::malformed_answer}};
+    for (const auto& row : rows) {
+        for (const std::size_t piece_bytes : {std::size_t{0}, std::size_t{7'001}}) {
+            CAPTURE(row.bytes.substr(0, 60));
+            CAPTURE(piece_bytes);
+            asio::io_context loop;
+            testing::scripted_endpoint::script script{row.bytes};
+            script.piece_bytes = piece_bytes;
+            testing::scripted_endpoint server(loop, {script});
+            http_client client(loop.get_executor(), server.address(),
+                               {.max_response_bytes = 1'000, .max_streamed_bytes = 200'000});
+            std::string received;
+            std::string held_body;
+            std::optional<http_failure> failure;
+            run_until_done(loop, [&]() -> asio::awaitable<void> {
+                try {
+                    const auto response = co_await client.request("GET", "/", {}, "", time_ms{5000},
+                                                                  [&](std::string_view piece) {
+                                                                      received += piece;
+                                                                      return !received.starts_with("no!");
+                                                                  });
+                    held_body = response.body();
+                } catch (const http_error& problem) {
+                    failure = problem.failure();
+                }
+            });
+            CHECK(failure == row.failure);
+            CHECK(held_body == row.held);
+            if (!failure || !row.received.empty()) CHECK(received == row.received);
+        }
+    }
+}
+
 TEST_CASE("http server: a request whose head arrives before its body is refused") {
     const std::string text = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
     for (const auto piece_bytes : {text.size() - 5, text.size() - 4, std::size_t{1}}) {
--- a/tests/page_reader_test.cpp
+++ b/tests/page_reader_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <random>
 #include <set>
 #include <string>
 
@@ -174,3 +175,37 @@
     CHECK(reader.last_names() == std::vector<std::string>{"a"});
     CHECK(reader.nameless() == 1);
 }
+
+TEST_CASE("page reader: damaged answers end the process, or bring an object that the decoder rejects") {
+    const std::string sound = fmt::format(R"({{"items":[{},{},7,{}],"hasMore":true,"asOf":9}})",
+                                          endpoint_text("a"), endpoint_text("b", R"("x":[{"y":[1,2.5e3]}],)"),
+                                          R"({"metadata":{"name":"m"},"spec":[true,null]})");
+    const std::string bytes = "{}[]\",:\\0e-.tn \n\x01\xff";
+    const auto filter = endpoint_filter();
+    int complete = 0;
+    for (std::uint64_t seed = 1; seed <= 20'000; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        auto text = sound;
+        for (auto changes = 1 + random() % 3; changes > 0; --changes) {
+            const auto at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[at] = bytes[random() % bytes.size()];
+                break;
+            case 1:
+                text.insert(at, 1, bytes[random() % bytes.size()]);
+                break;
+            default:
+                text.erase(at, 1 + random() % 20);
+            }
+        }
+        page_reader reader(filter, page_reader::content::objects);
+        reader.feed(text);
+        complete += reader.complete() ? 1 : 0;
+        for (const auto& entry : reader.take_page().entries)
+            CHECK_NOTHROW(decode_endpoint(to_json(entry.name, entry.object)));
+    }
+    CHECK(complete > 0);
+    CHECK(complete < 20'000);
+}
